--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+GOLANGCI_VERSION := v2.15.0
+LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
+
+export CGO_ENABLED := 1
+
+.PHONY: build test lint fmt demo capacity soak fuzz tools
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test: build
+	$(GO) test -count=1 -timeout 12m ./...
+
+fmt: tools
+	$(LINT) fmt ./...
+
+lint: tools
+	$(LINT) fmt --diff ./...
+	$(LINT) run ./...
+
+tools:
+	@test -x $(LINT) && $(LINT) version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
+		GOFLAGS= $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
--- /dev/null
+++ b/cmd/ibiscrank/team.go
@@ -0,0 +1,7 @@
+package main
+
+// teamCmd is the command team.
+type teamCmd struct{}
+
+// Run runs the command.
+func (c *teamCmd) Run() error { return errNotBuilt }
--- /dev/null
+++ b/ibischart/chart.go
@@ -0,0 +1,162 @@
+// Package ibischart interprets state charts that are kept as data in embedded JSON files.
+//
+// An event that a chart does not allow in the present state is an error for the caller to log; it never
+// changes the state.
+//
+// Usage:
+//
+//	m := ibischart.New(ibischart.Task)
+//	err := m.Fire("Start")
+//	state := m.State()
+package ibischart
+
+import (
+	"embed"
+	"encoding/json"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+//go:embed charts/*.json
+var files embed.FS
+
+// Error is the class of errors of this package.
+var Error = errs.Class("chart")
+
+// Transition leads from one state to another when its event is fired.
+type Transition struct {
+	From  string `json:"From"`
+	Event string `json:"Event"`
+	To    string `json:"To"`
+}
+
+// Chart is a finite state machine. An event that is listed under Ignored is allowed in that state and
+// changes nothing.
+type Chart struct {
+	Name        string              `json:"Name"`
+	Comment     string              `json:"Comment"`
+	Initial     string              `json:"Initial"`
+	Final       []string            `json:"Final"`
+	Transitions []Transition        `json:"Transitions"`
+	Ignored     map[string][]string `json:"Ignored"` // event to states
+	next        map[[2]string]string
+}
+
+// The charts of the project.
+var (
+	Task        = mustLoad("task")
+	Lease       = mustLoad("lease")
+	Incarnation = mustLoad("incarnation")
+	Drain       = mustLoad("drain")
+)
+
+// All lists every chart.
+var All = []*Chart{Task, Lease, Incarnation, Drain}
+
+func mustLoad(name string) *Chart {
+	b, err := files.ReadFile("charts/" + name + ".json")
+	if err != nil {
+		panic(err)
+	}
+	c := new(Chart)
+	if err := json.Unmarshal(b, c); err != nil {
+		panic(fmt.Sprintf("chart %s: %v", name, err))
+	}
+	return c
+}
+
+// UnmarshalJSON decodes a chart and checks it.
+func (c *Chart) UnmarshalJSON(b []byte) error {
+	type plain Chart
+	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
+		return Error.Wrap(err)
+	}
+	c.next = make(map[[2]string]string)
+	for _, t := range c.Transitions {
+		key := [2]string{t.From, t.Event}
+		if _, ok := c.next[key]; ok {
+			return Error.New("%s: two transitions from %s by %s", c.Name, t.From, t.Event)
+		}
+		c.next[key] = t.To
+	}
+	for event, states := range c.Ignored {
+		for _, s := range states {
+			key := [2]string{s, event}
+			if _, ok := c.next[key]; ok {
+				return Error.New("%s: %s in %s is both a transition and ignored", c.Name, event, s)
+			}
+			c.next[key] = s
+		}
+	}
+	return nil
+}
+
+// Next is the state that event leads to from state.
+func (c *Chart) Next(state, event string) (string, error) {
+	to, ok := c.next[[2]string{state, event}]
+	if !ok {
+		return state, Error.New("%s: event %s is not allowed in state %s", c.Name, event, state)
+	}
+	return to, nil
+}
+
+// States lists every state once, the initial one first.
+func (c *Chart) States() []string {
+	seen := map[string]bool{c.Initial: true}
+	states := []string{c.Initial}
+	for _, t := range c.Transitions {
+		for _, s := range []string{t.From, t.To} {
+			if !seen[s] {
+				seen[s] = true
+				states = append(states, s)
+			}
+		}
+	}
+	return states
+}
+
+// Events lists every event once.
+func (c *Chart) Events() []string {
+	seen := map[string]bool{}
+	var events []string
+	for _, t := range c.Transitions {
+		if !seen[t.Event] {
+			seen[t.Event] = true
+			events = append(events, t.Event)
+		}
+	}
+	return events
+}
+
+// IsFinal reports whether state is one that is never left.
+func (c *Chart) IsFinal(state string) bool {
+	for _, s := range c.Final {
+		if s == state {
+			return true
+		}
+	}
+	return false
+}
+
+// Machine is one run of a chart. It is not safe for use by several goroutines at once.
+type Machine struct {
+	chart *Chart
+	state string
+}
+
+// New is a machine in the initial state of c.
+func New(c *Chart) Machine { return Machine{chart: c, state: c.Initial} }
+
+// State is the present state.
+func (m *Machine) State() string { return m.state }
+
+// Fire applies event, or returns an error and stays where it is.
+func (m *Machine) Fire(event string) error {
+	to, err := m.chart.Next(m.state, event)
+	if err != nil {
+		return err
+	}
+	m.state = to
+	return nil
+}
