ibisconfig: keep the configuration in the table

Cause: operators change teams, keys and servers set aside while the system runs; a reply can be lost after the write, operators race each other, and no daemon may show an older version after a newer one.

Change: Store reads and changes the rows under config/. A row by change ID is created in the same transaction, so a repeat finds it and gets the first result. A grow-only deny set serves while the store is away and is written down later. The settings' bootstrap key is in force only while the table names no operator.

The property test found that a lost reply to the creation of the head was reported as an outage; the head is read again now.

--- a/ibisconfig/config.go
+++ b/ibisconfig/config.go
@@ -26,10 +26,24 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("config")
 
-// MaxShare bounds the weight of one team.
-const MaxShare = 1e6
+// Bounds on the configuration.
+const (
+	MaxShare       = 1e6 // weight of one team
+	MaxObjectives  = 16  // of one team
+	MaxTeamKeys    = 64  // of one team
+	MaxTeams       = 4096
+	MaxOperators   = 256
+	MaxAside       = 20000 // backend servers set aside at once
+	MaxReasonBytes = 512
+	MaxDenied      = 65536
+)
 
-var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+var (
+	nameForm   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	hashForm   = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	serverForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+	idForm     = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9-]{7,99}$`)
+)
 
 // KeyHash is the SHA-256 of a key in hexadecimal. Keys themselves are never kept.
 type KeyHash string
@@ -46,6 +60,17 @@
 	Hash KeyHash `json:"Hash"`
 }
 
+// Check reports a name or a hash that is not in its form.
+func (k Key) Check() error {
+	if !nameForm.MatchString(k.Name) {
+		return Error.New("key Name: %q has other characters than a-z, 0-9 and -, or is empty or too long", k.Name)
+	}
+	if !hashForm.MatchString(string(k.Hash)) {
+		return Error.New("key Hash: not 64 hexadecimal digits in lower case")
+	}
+	return nil
+}
+
 // Objective is a service-level objective: the part of requests of a class that must have waited no
 // longer than TargetMS before they started, or be answered at all when TargetMS is zero.
 type Objective struct {
@@ -82,6 +107,17 @@
 			bad = append(bad, fmt.Sprintf("Objectives[%d]: needs a known Class, a TargetMS of zero or more and a Goal between 0 and 1", i))
 		}
 	}
+	if len(t.Objectives) > MaxObjectives {
+		bad = append(bad, fmt.Sprintf("Objectives: more than %d", MaxObjectives))
+	}
+	if len(t.Keys) > MaxTeamKeys {
+		bad = append(bad, fmt.Sprintf("Keys: more than %d", MaxTeamKeys))
+	}
+	for i, k := range t.Keys {
+		if err := k.Check(); err != nil {
+			bad = append(bad, fmt.Sprintf("Keys[%d]: %v", i, err))
+		}
+	}
 	if len(bad) > 0 {
 		return Error.New("team %s", strings.Join(bad, "; "))
 	}
@@ -105,49 +141,3 @@
 	t.Keys = keys
 	return t
 }
-
-// Snapshot is the whole configuration at one version. It is never changed once it is published.
-type Snapshot struct {
-	Version   int64           `json:"Version"`
-	Teams     map[string]Team `json:"Teams"`
-	Operators map[string]Key  `json:"Operators"` // by the operator's name
-	// SetAside names the backend servers that operators keep from new work, with the reason.
-	SetAside map[string]string  `json:"SetAside,omitempty"`
-	Denied   map[KeyHash]bool   `json:"Denied,omitempty"` // withdrawn keys that the store may not know of yet
-	byHash   map[KeyHash]string // to the team
-}
-
-// Indexed is s with its look-up tables made; every published snapshot has them.
-func (s Snapshot) Indexed() *Snapshot {
-	s.byHash = make(map[KeyHash]string)
-	for name, t := range s.Teams {
-		for _, k := range t.Keys {
-			s.byHash[k.Hash] = name
-		}
-	}
-	return &s
-}
-
-// Authenticate finds the team of a key that is in force.
-func (s *Snapshot) Authenticate(key string) (team string, ok bool) {
-	h := HashKey(key)
-	if s.Denied[h] {
-		return "", false
-	}
-	team, ok = s.byHash[h]
-	return team, ok
-}
-
-// Operator finds the operator of a key that is in force.
-func (s *Snapshot) Operator(key string) (name string, ok bool) {
-	h := HashKey(key)
-	if s.Denied[h] {
-		return "", false
-	}
-	for name, k := range s.Operators {
-		if k.Hash == h {
-			return name, true
-		}
-	}
-	return "", false
-}
--- /dev/null
+++ b/ibisconfig/store_test.go
@@ -0,0 +1,276 @@
+package ibisconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestStoreStartsKnowingNothing(t *testing.T) {
+	table := newFakeTable()
+	table.setAway(true)
+	s := NewStore(table).WithBootstrap(HashKey("first"))
+	assert.Equal(t, s.Snapshot().Version, int64(0))
+	assert.Assert(t, Unavailable.Has(s.Poll(t.Context())))
+	_, ok := s.Snapshot().Operator("first")
+	assert.Assert(t, !ok, "the bootstrap key is in force before the table was read")
+
+	table.setAway(false)
+	assert.NilError(t, s.Poll(t.Context()))
+	assert.Equal(t, s.Snapshot().Version, int64(1))
+	name, ok := s.Snapshot().Operator("first")
+	assert.Assert(t, ok && name == BootstrapOperator)
+
+	mustApply(t, s, change(func(c *Change) {
+		c.PutOperator = &PutOperator{Name: "nara", Key: Key{Name: "phone", Hash: HashKey("k")}}
+	}))
+	_, ok = s.Snapshot().Operator("first")
+	assert.Assert(t, !ok, "the bootstrap key is in force beside an operator")
+}
+
+func TestChangesReachOtherStores(t *testing.T) {
+	table := newFakeTable()
+	a, b := NewStore(table), NewStore(table)
+	mustApply(t, a, putTeam("tuul-floor", 3))
+	mustApply(t, a, addKey("tuul-floor", "mill"))
+	mustApply(t, a, change(func(c *Change) { c.SetAside = &SetAside{Server: "10.0.0.7:9000", Reason: "fails all"} }))
+	assert.NilError(t, b.Poll(t.Context()))
+	team, ok := b.Snapshot().Authenticate("mill")
+	assert.Assert(t, ok && team == "tuul-floor")
+	assert.Equal(t, b.Snapshot().SetAside["10.0.0.7:9000"], "fails all")
+
+	mustApply(t, b, withdrawKey("tuul-floor", "mill"))
+	mustApply(t, b, change(func(c *Change) { c.Return = &Return{Server: "10.0.0.7:9000"} }))
+	assert.NilError(t, a.Poll(t.Context()))
+	_, ok = a.Snapshot().Authenticate("mill")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(a.Snapshot().SetAside), 0)
+	assert.DeepEqual(t, a.Snapshot().Teams, b.Snapshot().Teams)
+
+	mustApply(t, b, change(func(c *Change) { c.DeleteTeam = "tuul-floor" }))
+	assert.NilError(t, a.Poll(t.Context()))
+	assert.Equal(t, len(a.Snapshot().Teams), 0)
+}
+
+func TestPutTeamKeepsKeys(t *testing.T) {
+	s := NewStore(newFakeTable())
+	mustApply(t, s, putTeam("tuul-floor", 3))
+	mustApply(t, s, addKey("tuul-floor", "mill"))
+	mustApply(t, s, putTeam("tuul-floor", 9))
+	_, ok := s.Snapshot().Authenticate("mill")
+	assert.Assert(t, ok)
+	assert.Equal(t, s.Snapshot().Teams["tuul-floor"].Share, 9.0)
+}
+
+func TestStaleChangeIsRefusedWithWhatChanged(t *testing.T) {
+	table := newFakeTable()
+	s := NewStore(table)
+	seen := mustApply(t, s, putTeam("tuul-floor", 3)).Version
+	mustApply(t, s, putTeam("tuul-floor", 4))
+	c := putTeam("tuul-floor", 5)
+	c.BasedOn = seen
+	_, err := s.Apply(t.Context(), c)
+	assert.Assert(t, Stale.Has(err), "%v", err)
+	stale, ok := errors.AsType[*StaleError](err)
+	assert.Assert(t, ok)
+	assert.Equal(t, stale.Team.Share, 4.0)
+	assert.Equal(t, stale.Last.Operator, "nara")
+	assert.Assert(t, stale.Last.At.Equal(testTime))
+
+	c = putTeam("tuul-floor", 5)
+	c.BasedOn = 0
+	_, err = s.Apply(t.Context(), c)
+	assert.Assert(t, Stale.Has(err), "creating a team over another: %v", err)
+}
+
+func TestLostReplyIsRepeatedOnce(t *testing.T) {
+	table := newFakeTable()
+	s := NewStore(table)
+	mustApply(t, s, putTeam("tuul-floor", 3))
+	before := s.Snapshot().Version
+	table.lose = 1
+	res := mustApply(t, s, addKey("tuul-floor", "mill"))
+	assert.DeepEqual(t, res, Result{Version: before + 1, Repeated: true})
+	assert.Equal(t, s.Snapshot().Version, before+1)
+
+	c := addKey("tuul-floor", "desk")
+	first := mustApply(t, s, c)
+	mustApply(t, s, putTeam("tuul-floor", 8))
+	again := mustApply(t, NewStore(table), c)
+	assert.DeepEqual(t, again, Result{Version: first.Version, Repeated: true})
+
+	c.AddKey = &AddKey{Team: "tuul-floor", Key: Key{Name: "desk", Hash: HashKey("other")}}
+	_, err := s.Apply(t.Context(), c)
+	assert.Assert(t, Reused.Has(err), "%v", err)
+}
+
+func TestOperatorsRace(t *testing.T) {
+	const operators, keys = 5, 6
+	table := newFakeTable()
+	first := NewStore(table)
+	mustApply(t, first, putTeam("tuul-floor", 1))
+	mustApply(t, first, addKey("tuul-floor", "old"))
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			s := NewStore(table)
+			for j := range keys {
+				_, err := s.Apply(t.Context(), addKey("tuul-floor", fmt.Sprintf("key-%d-%d", i, j)))
+				assert.Check(t, err)
+			}
+		})
+	}
+	wg.Go(func() {
+		_, err := NewStore(table).Apply(t.Context(), withdrawKey("tuul-floor", "old"))
+		assert.Check(t, err)
+	})
+	wg.Wait()
+	assert.NilError(t, first.Poll(t.Context()))
+	assert.Equal(t, len(first.Snapshot().Teams["tuul-floor"].Keys), operators*keys)
+	assert.Equal(t, first.Snapshot().Version, int64(1+2+operators*keys+1))
+	entries, err := first.Audit(t.Context(), 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 10)
+	assert.Equal(t, entries[0].Version, first.Snapshot().Version)
+}
+
+func TestLongAbsenceReadsEverything(t *testing.T) {
+	table := newFakeTable()
+	a, b := NewStore(table), NewStore(table)
+	mustApply(t, a, putTeam("gone", 1))
+	assert.NilError(t, b.Poll(t.Context()))
+	mustApply(t, a, change(func(c *Change) { c.DeleteTeam = "gone" }))
+	for i := range ChangeLogLength + 3 {
+		mustApply(t, a, putTeam("busy", float64(i+1)))
+	}
+	assert.NilError(t, b.Poll(t.Context()))
+	assert.DeepEqual(t, a.Snapshot().Teams, b.Snapshot().Teams)
+}
+
+func TestDenySet(t *testing.T) {
+	table := newFakeTable()
+	a, b := NewStore(table), NewStore(table)
+	mustApply(t, a, putTeam("tuul-floor", 1))
+	mustApply(t, a, addKey("tuul-floor", "mill"))
+	table.setAway(true)
+	a.Deny(HashKey("mill"))
+	_, ok := a.Snapshot().Authenticate("mill")
+	assert.Assert(t, !ok)
+	assert.Assert(t, b.Adopt(a.Snapshot()))
+	assert.DeepEqual(t, b.Denied(), []KeyHash{HashKey("mill")})
+	assert.Assert(t, !b.Adopt(a.Snapshot()), "the same version was adopted twice")
+
+	table.setAway(false)
+	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
+	assert.NilError(t, b.WriteDenied(t.Context(), testTime))
+	fresh := NewStore(table)
+	assert.NilError(t, fresh.Poll(t.Context()))
+	_, ok = fresh.Snapshot().Authenticate("mill")
+	assert.Assert(t, !ok)
+	_, err := a.Apply(t.Context(), change(func(c *Change) {
+		c.AddKey = &AddKey{Team: "tuul-floor", Key: Key{Name: "again", Hash: HashKey("mill")}}
+	}))
+	assert.Assert(t, Invalid.Has(err), "a withdrawn key came back: %v", err)
+}
+
+func TestSnapshotEncodes(t *testing.T) {
+	s := NewStore(newFakeTable())
+	mustApply(t, s, putTeam("tuul-floor", 1))
+	mustApply(t, s, addKey("tuul-floor", "mill"))
+	s.Deny(HashKey("x"))
+	for name, trip := range map[string]func(*Snapshot) (*Snapshot, error){
+		"json": func(s *Snapshot) (*Snapshot, error) {
+			b, err := json.Marshal(s)
+			assert.NilError(t, err)
+			got := new(Snapshot)
+			return got, json.Unmarshal(b, got)
+		},
+		"cbor": func(s *Snapshot) (*Snapshot, error) {
+			b, err := cbor.Marshal(s)
+			assert.NilError(t, err)
+			got := new(Snapshot)
+			return got, cbor.Unmarshal(b, got)
+		},
+	} {
+		got, err := trip(s.Snapshot())
+		assert.NilError(t, err, name)
+		team, ok := got.Authenticate("mill")
+		assert.Assert(t, ok && team == "tuul-floor", name)
+		assert.DeepEqual(t, got.Denied, s.Snapshot().Denied)
+	}
+}
+
+func TestInvalidChanges(t *testing.T) {
+	s := NewStore(newFakeTable())
+	mustApply(t, s, putTeam("tuul-floor", 1))
+	mustApply(t, s, putTeam("tuul-desk", 1))
+	mustApply(t, s, addKey("tuul-floor", "mill"))
+	for name, tc := range map[string]struct {
+		c    Change
+		want func(error) bool
+	}{
+		"none":           {change(func(*Change) {}), Invalid.Has},
+		"two":            {change(func(c *Change) { c.DeleteTeam, c.DeleteOperator = "a", "b" }), Invalid.Has},
+		"share":          {putTeam("tuul-floor", 0), Invalid.Has},
+		"name":           {putTeam("Tuul Floor", 1), Invalid.Has},
+		"no such team":   {addKey("other", "k"), NotFound.Has},
+		"key name twice": {addKey("tuul-floor", "mill"), Invalid.Has},
+		"key of another": {addKey("tuul-desk", "mill"), Invalid.Has},
+		"no such key":    {withdrawKey("tuul-floor", "desk"), NotFound.Has},
+		"bootstrap":      {change(func(c *Change) { c.PutOperator = &PutOperator{Name: BootstrapOperator} }), Invalid.Has},
+		"no reason":      {change(func(c *Change) { c.SetAside = &SetAside{Server: "a"} }), Invalid.Has},
+		"not aside":      {change(func(c *Change) { c.Return = &Return{Server: "a"} }), NotFound.Has},
+		"path in server": {change(func(c *Change) { c.SetAside = &SetAside{Server: "a/b", Reason: "r"} }), Invalid.Has},
+	} {
+		_, err := s.Apply(t.Context(), tc.c)
+		assert.Check(t, tc.want(err), "%s: %v", name, err)
+	}
+}
+
+// TestNeverAnOlderVersion drives several stores through random changes, polls, outages, lost replies
+// and exchanges of snapshots.
+func TestNeverAnOlderVersion(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table := newFakeTable()
+		stores := []*Store{NewStore(table), NewStore(table), NewStore(table)}
+		last := make([]int64, len(stores))
+		shareAt := make(map[int64]float64) // the team's share at each version
+		n := 0
+		rt.Repeat(map[string]func(*rapid.T){
+			"change": func(rt *rapid.T) {
+				if table.away {
+					return
+				}
+				n++
+				res, err := stores[rapid.IntRange(0, 2).Draw(rt, "store")].Apply(t.Context(), putTeam("team", float64(n)))
+				assert.NilError(rt, err)
+				shareAt[res.Version] = float64(n)
+			},
+			"lose": func(*rapid.T) { table.lose = 1 },
+			"away": func(*rapid.T) { table.setAway(!table.away) },
+			"poll": func(rt *rapid.T) { _ = stores[rapid.IntRange(0, 2).Draw(rt, "store")].Poll(t.Context()) },
+			"adopt": func(rt *rapid.T) {
+				stores[rapid.IntRange(0, 2).Draw(rt, "to")].Adopt(stores[rapid.IntRange(0, 2).Draw(rt, "from")].Snapshot())
+			},
+			"old": func(rt *rapid.T) {
+				stores[0].Adopt(&Snapshot{Version: rapid.Int64Range(0, last[0]).Draw(rt, "version")})
+			},
+			"": func(rt *rapid.T) {
+				for i, s := range stores {
+					snap := s.Snapshot()
+					assert.Assert(rt, snap.Version >= last[i])
+					last[i] = snap.Version
+					if snap.Version > 1 {
+						assert.Equal(rt, snap.Teams["team"].Share, shareAt[snap.Version])
+					}
+				}
+			},
+		})
+	})
+}
