--- /dev/null
+++ b/ibisholder/drive.go
@@ -0,0 +1,478 @@
+package ibisholder
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"ibiscrank/ibisjournal"
+	"ibiscrank/ibisrpc"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// Times and bounds of a driver.
+const (
+	durableWait     = 5 * time.Second        // of one Place call for durable work
+	interactiveWait = 1500 * time.Millisecond // of one Place call for interactive work
+	callMargin      = 2 * time.Second         // of a call beyond the wait that it asks for
+	startWait       = 8 * time.Second
+	retryBase       = 50 * time.Millisecond
+	retryMax        = 2 * time.Second
+	lookInterval    = 1 * time.Second
+	maxFailures     = 5 // of the work itself, before the answer is Failed
+	defaultDeadline = 30 * time.Second
+)
+
+// drive starts the driver of e unless it has one.
+func (h *Holder) drive(e *entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.driven || e.state() == stateAccepted || e.state() == stateEnded {
+		return
+	}
+	ctx, ok := e.shard.drive()
+	if !ok {
+		return
+	}
+	e.driven = true
+	go func() {
+		defer e.shard.drivers.Done()
+		h.run(ctx, e)
+	}()
+}
+
+// drive registers one more driver while the shard is held.
+func (sh *shard) drive() (context.Context, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.ctx.Err() != nil {
+		return nil, false
+	}
+	sh.drivers.Add(1)
+	return sh.ctx, true
+}
+
+// run drives e from state to state until it has ended or the shard is given up.
+func (h *Holder) run(ctx context.Context, e *entry) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		state := e.state()
+		e.mu.Unlock()
+		switch state {
+		case stateQueued:
+			h.place(ctx, e)
+		case stateReserved:
+			h.intend(ctx, e)
+		case stateStarting:
+			h.start(ctx, e)
+		case stateRunning:
+			h.watch(ctx, e)
+		case stateLocating:
+			h.locate(ctx, e)
+		case stateEnded:
+			h.conclude(ctx, e)
+			return
+		}
+	}
+}
+
+// conclude journals the end of durable work, counts it, and lets it be forgotten in time.
+func (h *Holder) conclude(ctx context.Context, e *entry) {
+	h.queued.Add(-1)
+	h.ended.Inc(1)
+	e.mu.Lock()
+	r, ok := e.saved.Request, e.saved.Answer != nil && e.saved.Answer.Outcome != ibiswork.Failed
+	wait := time.Duration(e.saved.WaitMS) * time.Millisecond
+	r.Team = e.saved.Request.Team
+	e.mu.Unlock()
+	if h.cfg.Ended != nil {
+		h.cfg.Ended(r, wait, ok)
+	}
+	e.shard.retire(e)
+	for delay := retryBase; ctx.Err() == nil; delay = min(2*delay, retryMax) {
+		err := h.save(ctx, e)
+		if err == nil || ibisjournal.Fenced.Has(err) {
+			e.mu.Lock()
+			e.kept = err == nil
+			e.mu.Unlock()
+			return
+		}
+		pause(ctx, e, jitter(delay))
+	}
+}
+
+// givenUp ends e when it was cancelled or its deadline has passed. It may be called only while no task of
+// the present attempt can have been started.
+func (h *Holder) givenUp(e *entry) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.cancel {
+		e.finish("Cancel", &ibiswork.Answer{ID: e.id, Outcome: ibiswork.Cancelled, Attempts: e.saved.Attempt - 1}, nil, now)
+		return true
+	}
+	left, bounded := e.timeLeft(now)
+	if bounded && left <= 0 {
+		r := ibiswork.Refuse(ibiswork.CodeDeadline, "the deadline passed before the request could be started").WithRetryAfter(overloadRetry)
+		if e.saved.Failures > 0 {
+			r = r.WithMaybeRun()
+		}
+		e.finish("Refuse", nil, r, now)
+		return true
+	}
+	return false
+}
+
+// timeLeft is the time until the latest useful answer. Durable work was accepted and has no such bound.
+func (e *entry) timeLeft(now time.Time) (time.Duration, bool) {
+	if e.saved.Request.Class.Durable() {
+		return 0, false
+	}
+	d := time.Duration(e.saved.Request.DeadlineMS) * time.Millisecond
+	if d == 0 {
+		d = defaultDeadline
+	}
+	return d - now.Sub(e.accepted), true
+}
+
+// place asks an owner for places.
+func (h *Holder) place(ctx context.Context, e *entry) {
+	if h.takeEvents(ctx, e) || h.givenUp(e) {
+		return
+	}
+	e.mu.Lock()
+	if !e.known {
+		// Its task is gone, and the request was never seen here: only its caller can bring it again.
+		e.shard.remove(e)
+		e.finish("Refuse", nil, recovering("an earlier run was lost"), time.Now())
+		e.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	wait := durableWait
+	if left, bounded := e.timeLeft(now); bounded {
+		wait = min(interactiveWait, left)
+	}
+	req := &ibiswire.PlaceRequest{
+		From: h.from(e), Request: e.saved.Request, Attempt: e.saved.Attempt, Intent: e.durable,
+		Avoid: e.avoid, WaitMS: wait.Milliseconds(), WaitedMS: now.Sub(e.accepted).Milliseconds(),
+	}
+	if len(e.saved.Checkpoint) > 0 {
+		req.Request.Payload = e.saved.Checkpoint
+	}
+	last := e.owner
+	e.mu.Unlock()
+	owner, ok := h.pick(req.Request, last)
+	if !ok {
+		pause(ctx, e, retryBase)
+		return
+	}
+	e.mu.Lock()
+	e.owner = owner.ID()
+	e.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	defer cancel()
+	reply, err := ibisrpc.Call[ibiswire.PlaceReply](callCtx, h.cfg.Pool, owner.Digest.Row.Address, ibiswire.MethodPlace, req)
+	h.placed(ctx, e, reply, err)
+}
+
+
+// placed takes in the reply to a Place call.
+func (h *Holder) placed(ctx context.Context, e *entry, reply *ibiswire.PlaceReply, err error) {
+	if err != nil {
+		h.notPlaced(ctx, e, err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch reply.State {
+	case ibiswire.Reserved:
+		e.saved.Places = reply.Places
+		e.fire("Reserve")
+	case ibiswire.Started:
+		e.saved.Places = reply.Places
+		e.dispatched(time.Now())
+	}
+}
+
+// dispatched records that every task of the attempt has been started.
+func (e *entry) dispatched(now time.Time) {
+	if e.saved.WaitMS == 0 {
+		e.saved.WaitMS = now.Sub(e.accepted).Milliseconds()
+	}
+	e.fire("Dispatch")
+}
+
+// notPlaced decides what follows a Place call that brought no places.
+func (h *Holder) notPlaced(ctx context.Context, e *entry, err error) {
+	refusal, refused := errors.AsType[*ibiswork.Refusal](err)
+	e.mu.Lock()
+	switch {
+	case !refused && !e.durable:
+		// Without an intent the owner may have started it.
+		e.fire("Dispatch")
+		e.fire("Lose")
+		e.mu.Unlock()
+		return
+	case refused && refusal.Code == ibiswork.CodeDeadline && refusal.NotRun && e.saved.Failures == 0:
+		e.finish("Refuse", nil, refusal.WithRetryAfter(overloadRetry), time.Now())
+		e.mu.Unlock()
+		return
+	}
+	e.saved.Attempt++ // the attempt is closed; a reservation that is left over is never started
+	e.saved.Places = nil
+	e.mu.Unlock()
+	pause(ctx, e, jitter(2*retryBase))
+}
+
+// intend journals where the attempt is about to be started.
+func (h *Holder) intend(ctx context.Context, e *entry) {
+	e.mu.Lock()
+	cancelled := e.cancel
+	e.mu.Unlock()
+	if cancelled {
+		h.release(ctx, e)
+		h.givenUp(e)
+		return
+	}
+	err := h.save(ctx, e)
+	e.mu.Lock()
+	if err == nil {
+		e.fire("Intend")
+		e.mu.Unlock()
+		return
+	}
+	interactive := !e.saved.Request.Class.Durable()
+	if ibisjournal.Unavailable.Has(err) && interactive {
+		// Nothing was written and nothing was started: the refusal is final and true.
+		e.durable = false
+		e.finish("Refuse", nil, storeRefusal(err), time.Now())
+		e.mu.Unlock()
+		h.release(ctx, e)
+		return
+	}
+	e.fire("Requeue")
+	e.saved.Attempt++
+	e.saved.Places = nil
+	e.mu.Unlock()
+	h.release(ctx, e)
+	pause(ctx, e, jitter(retryMax))
+}
+
+// start lets the owner start what it has reserved.
+func (h *Holder) start(ctx context.Context, e *entry) {
+	e.mu.Lock()
+	req := &ibiswire.StartRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
+	owner := e.owner
+	e.mu.Unlock()
+	m, ok := h.cfg.View().Find(owner)
+	var reply *ibiswire.StartReply
+	err := error(Error.New("owner %s is not known any more", owner))
+	if ok {
+		callCtx, cancel := context.WithTimeout(ctx, startWait)
+		reply, err = ibisrpc.Call[ibiswire.StartReply](callCtx, h.cfg.Pool, m.Digest.Row.Address, ibiswire.MethodStart, req)
+		cancel()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case err == nil && reply.Started:
+		e.dispatched(time.Now())
+	case err == nil && reply.NotStarted:
+		e.requeue()
+	default:
+		e.fire("Lose")
+	}
+}
+
+// requeue closes the attempt, of which no task runs, and begins the next one.
+func (e *entry) requeue() {
+	if !e.fire("Requeue") {
+		return
+	}
+	e.saved.Attempt++
+	e.saved.Places = nil
+	e.tasks = make(map[int]ibiswire.TaskEvent)
+}
+
+// release gives up the places of e's attempt at its owner, and stops what runs there.
+func (h *Holder) release(ctx context.Context, e *entry) {
+	e.mu.Lock()
+	req := &ibiswire.ReleaseRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
+	owner := e.owner
+	e.mu.Unlock()
+	m, ok := h.cfg.View().Find(owner)
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	if _, err := ibisrpc.Call[ibiswire.ReleaseReply](callCtx, h.cfg.Pool, m.Digest.Row.Address, ibiswire.MethodRelease, req); err != nil {
+		log.WithFields(log.Fields{"request": e.id, "error": err}).Debug("ReleaseFailed")
+	}
+}
+
+func (h *Holder) from(e *entry) ibiswire.Holder {
+	return ibiswire.Holder{Shard: e.shard.id, Epoch: e.saved.Epoch, Incarnation: h.cfg.Self}
+}
+
+// watch waits for the ends of the tasks that run.
+func (h *Holder) watch(ctx context.Context, e *entry) {
+	stopped := false
+	for ctx.Err() == nil {
+		if h.takeEvents(ctx, e) {
+			return
+		}
+		e.mu.Lock()
+		cancelled := e.cancel
+		owner := e.owner
+		e.mu.Unlock()
+		if _, ok := h.cfg.View().Find(owner); !ok {
+			e.mu.Lock()
+			e.fire("Lose")
+			e.mu.Unlock()
+			return
+		}
+		if cancelled && !stopped {
+			h.release(ctx, e)
+			stopped = true
+		}
+		pause(ctx, e, lookInterval)
+	}
+}
+
+// takeEvents acts on the events that have come, and reports whether the state has changed.
+func (h *Holder) takeEvents(ctx context.Context, e *entry) bool {
+	e.mu.Lock()
+	changed, stop := e.digest(time.Now())
+	e.mu.Unlock()
+	if stop {
+		h.release(ctx, e)
+	}
+	return changed
+}
+
+// digest decides what the events of the present attempt mean. stop says that the rest of a gang is to be
+// stopped.
+func (e *entry) digest(now time.Time) (changed, stop bool) {
+	if len(e.tasks) == 0 {
+		return false, false
+	}
+	if e.state() == stateQueued {
+		e.dispatched(now)
+		return true, false
+	}
+	n := e.saved.Request.TaskCount()
+	ended, bad := 0, false
+	for _, ev := range e.tasks {
+		if ev.State.Ended() {
+			ended++
+			bad = bad || ev.State != ibiswire.TaskDone
+		}
+	}
+	if ended < n {
+		if e.state() == stateLocating && len(e.tasks) == n {
+			e.fire("Dispatch")
+			return true, false
+		}
+		stop = bad && !e.stopSent
+		e.stopSent = e.stopSent || bad
+		return false, stop
+	}
+	e.conclude(now)
+	return true, false
+}
+
+// conclude ends the attempt whose tasks have all ended: with an answer, or with the next attempt.
+func (e *entry) conclude(now time.Time) {
+	e.stopSent = false
+	worst := e.worst()
+	a := &ibiswork.Answer{
+		ID: e.id, Outcome: ibiswork.Done, Result: e.result(), Error: worst.Error, Server: worst.Server,
+		Attempts: e.saved.Attempt, WaitMS: e.saved.WaitMS, RunMS: worst.RunMS,
+	}
+	again := e.saved.Request.Idempotent || !e.anyRan()
+	switch {
+	case worst.State == ibiswire.TaskDone:
+		e.finish("Finish", a, nil, now)
+	case e.cancel:
+		a.Outcome = ibiswork.Cancelled
+		e.finish("Finish", a, nil, now)
+	case worst.State == ibiswire.TaskFailed && !worst.Blameless && (!again || e.saved.Failures+1 >= maxFailures):
+		a.Outcome = ibiswork.Failed
+		e.finish("Finish", a, nil, now)
+	case again:
+		if worst.State == ibiswire.TaskFailed {
+			e.saved.Failures++
+			e.avoid = append(e.avoid, worst.Server)
+		}
+		if len(worst.Checkpoint) > 0 {
+			e.saved.Checkpoint = worst.Checkpoint
+		}
+		e.requeue()
+	case worst.State == ibiswire.TaskFailed:
+		a.Outcome = ibiswork.Failed
+		e.finish("Finish", a, nil, now)
+	default:
+		r := ibiswork.Refuse(ibiswork.CodeOutcomeUnknown, "the request was started on %s, which was lost", worst.Server).WithMaybeRun()
+		e.finish("Finish", nil, r, now)
+	}
+}
+
+// badness orders the states of ended tasks; the worst one decides for a gang.
+var badness = map[ibiswire.EventState]int{
+	ibiswire.TaskDone: 0, ibiswire.TaskStopped: 1, ibiswire.TaskLapsed: 2, ibiswire.TaskLost: 3, ibiswire.TaskFailed: 4,
+}
+
+func (e *entry) worst() ibiswire.TaskEvent {
+	worst := e.tasks[0]
+	for _, ev := range e.tasks {
+		if badness[ev.State] > badness[worst.State] {
+			worst = ev
+		}
+	}
+	return worst
+}
+
+func (e *entry) anyRan() bool {
+	for _, ev := range e.tasks {
+		if ev.Ran {
+			return true
+		}
+	}
+	return false
+}
+
+// result is the result of the only task, or a JSON array of those of a gang in order of their indexes.
+func (e *entry) result() []byte {
+	if e.saved.Request.TaskCount() == 1 {
+		return e.tasks[0].Result
+	}
+	b := []byte{'['}
+	for i := range e.saved.Request.TaskCount() {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		if res := e.tasks[i].Result; len(res) > 0 && res[0] == '{' {
+			b = append(b, res...)
+		} else {
+			b = strconv.AppendQuote(b, string(res))
+		}
+	}
+	return append(b, ']')
+}
+
+// pause waits for d, a signal to the entry, or the end of ctx.
+func pause(ctx context.Context, e *entry, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.signal:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/ibisowner/place.go
@@ -0,0 +1,276 @@
+package ibisowner
+
+import (
+	"context"
+	"time"
+
+	"ibiscrank/ibisplace"
+	"ibiscrank/ibisqueue"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// itemState is how far one attempt at a request has come at this owner.
+type itemState int
+
+const (
+	waiting  itemState = iota // in the queue
+	reserved                  // has places and waits for its start
+	starting                  // starts are under way
+	running                   // every task has been started
+)
+
+// item is one attempt at a request. It is owned by the loop.
+type item struct {
+	from      ibiswire.Holder
+	req       ibiswork.Request
+	attempt   int
+	intent    bool
+	indexes   []int
+	avoid     map[string]bool
+	state     itemState
+	places    []ibiswire.Place
+	tasks     []*task
+	enqueued  time.Time
+	keepUntil time.Time
+	attached  int           // calls that wait for a place
+	placed    chan struct{} // closed when it has places or was dropped
+	refusal   *ibiswork.Refusal
+	dropped   bool
+	noted     bool
+}
+
+// Place queues one attempt at a request, and waits for places.
+func (o *Owner) Place(ctx context.Context, req *ibiswire.PlaceRequest) (*ibiswire.PlaceReply, error) {
+	var it *item
+	var refused error
+	err := o.loop.Do(ctx, func() { it, refused = o.attach(req, time.Now()) })
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if refused != nil {
+		return nil, refused
+	}
+	timer := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-it.placed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return o.settlePlace(it)
+}
+
+// settlePlace ends one Place call; it decides on the loop whether the item has its places.
+func (o *Owner) settlePlace(it *item) (*ibiswire.PlaceReply, error) {
+	var reply *ibiswire.PlaceReply
+	var refusal *ibiswork.Refusal
+	mustStart := false
+	err := o.loop.Do(o.ctx, func() {
+		it.attached--
+		switch {
+		case it.dropped:
+			refusal = it.refusal
+		case it.state == waiting:
+			reply = &ibiswire.PlaceReply{State: ibiswire.Waiting}
+			if it.attached == 0 {
+				o.dropItem(it, nil)
+			}
+		case it.state == reserved && it.intent:
+			reply = &ibiswire.PlaceReply{State: ibiswire.Reserved, Places: it.places}
+		case it.state == reserved:
+			it.state = starting
+			mustStart = true
+		default:
+			reply = &ibiswire.PlaceReply{State: ibiswire.Started, Places: it.places}
+		}
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if mustStart {
+		return o.startPlaced(it)
+	}
+	if reply == nil {
+		if refusal == nil {
+			refusal = ibiswork.Refuse(ibiswork.CodeOverloaded, "the place was given up")
+		}
+		return nil, refusal
+	}
+	return reply, nil
+}
+
+// startPlaced starts the tasks of an item without an intent.
+func (o *Owner) startPlaced(it *item) (*ibiswire.PlaceReply, error) {
+	res := o.startAll(it)
+	if res.NotStarted {
+		return nil, ibiswork.Refuse(ibiswork.CodeUnreachable, "no task was started: %s", res.Error)
+	}
+	return &ibiswire.PlaceReply{State: ibiswire.Started, Places: it.places}, nil
+}
+
+// attach finds or makes the item of a request, on the loop.
+func (o *Owner) attach(req *ibiswire.PlaceRequest, now time.Time) (*item, error) {
+	if err := o.checkHolder(req.From); err != nil {
+		return nil, err
+	}
+	id := req.Request.ID
+	if c, ok := o.closed[id]; ok && req.Attempt <= c.attempt {
+		return nil, ibiswork.Refuse(ibiswork.CodeStale, "attempt %d was closed", req.Attempt)
+	}
+	if it := o.items[id]; it != nil {
+		if it.attempt == req.Attempt {
+			it.from = req.From
+			it.attached++
+			return it, nil
+		}
+		if it.state != waiting && it.state != reserved {
+			return nil, ibiswork.Refuse(ibiswork.CodeConflict, "attempt %d is still running", it.attempt)
+		}
+		o.dropItem(it, ibiswork.Refuse(ibiswork.CodeStale, "a later attempt came"))
+	}
+	if o.draining {
+		return nil, ibiswork.Refuse(ibiswork.CodeDraining, "the owner is draining")
+	}
+	it := newItem(req, now)
+	o.items[id] = it
+	o.queue.Push(ibisqueue.Item{
+		ID: id, Team: it.req.Team, Class: it.req.Class, Urgent: it.req.Urgent,
+		Each: o.sizeOf(it), Tasks: len(it.indexes), Enqueued: it.enqueued, Deadline: deadline(req, now),
+	})
+	o.round(now)
+	return it, nil
+}
+
+func newItem(req *ibiswire.PlaceRequest, now time.Time) *item {
+	it := &item{
+		from: req.From, req: req.Request, attempt: req.Attempt, intent: req.Intent, indexes: req.Indexes,
+		avoid: make(map[string]bool), enqueued: now.Add(-time.Duration(req.WaitedMS) * time.Millisecond),
+		attached: 1, placed: make(chan struct{}),
+	}
+	for _, s := range req.Avoid {
+		it.avoid[s] = true
+	}
+	for i := 0; len(it.indexes) < it.req.TaskCount() && len(req.Indexes) == 0; i++ {
+		it.indexes = append(it.indexes, i)
+	}
+	return it
+}
+
+// deadline is the latest useful answer of an interactive request; durable work has none, since it was
+// accepted and must end.
+func deadline(req *ibiswire.PlaceRequest, now time.Time) time.Time {
+	if req.Request.DeadlineMS == 0 || req.Request.Class.Durable() {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(req.Request.DeadlineMS-req.WaitedMS) * time.Millisecond)
+}
+
+// sizeOf is what a task of the item is counted as: what such tasks were seen to use, but never less than
+// declared.
+func (o *Owner) sizeOf(it *item) ibiswork.Resources {
+	size := o.sizes.Size(it.req.Team, it.req.Kind, it.req.Resources).Max(it.req.Resources)
+	if !o.fleet.EverFits(size) {
+		size = it.req.Resources
+	}
+	size.Slots = max(size.Slots, 1)
+	return size
+}
+
+// round offers the waiting items to the fleet, in fair order.
+func (o *Owner) round(now time.Time) {
+	if o.queue.Len() == 0 {
+		return
+	}
+	o.queue.Round(now, func(q ibisqueue.Item) ibisqueue.Verdict {
+		it := o.items[q.ID]
+		if it == nil || it.state != waiting {
+			return ibisqueue.Taken // it left the queue by another way
+		}
+		return o.tryPlace(it, q, now)
+	})
+}
+
+func (o *Owner) tryPlace(it *item, q ibisqueue.Item, now time.Time) ibisqueue.Verdict {
+	total := q.Total()
+	if !o.cfg.Ledger.TryUse(q.Team, total) {
+		o.cfg.Ledger.Want(q.Team, total)
+		return ibisqueue.OverLimit
+	}
+	names, ok := o.find(it, q)
+	if !ok {
+		o.cfg.Ledger.Free(q.Team, total)
+		return ibisqueue.NoRoom
+	}
+	o.reserve(it, names, q.Each, now)
+	o.queue.Charge(q.Team, total)
+	return ibisqueue.Taken
+}
+
+// find asks the policy for servers, honouring the allowance of servers on probation.
+func (o *Owner) find(it *item, q ibisqueue.Item) ([]string, bool) {
+	ask := ibisplace.Ask{Team: q.Team, Class: q.Class, Resources: q.Each, Avoid: it.avoid}
+	if q.Class == ibiswork.Service {
+		ask.Spread = o.spread(q.Team, it.req.Kind)
+	}
+	if len(it.indexes) > 1 {
+		return o.fleet.PlaceGang(ask, len(it.indexes))
+	}
+	name, ok := o.fleet.Place(ask)
+	return []string{name}, ok
+}
+
+// spread counts the running tasks of a service in each failure domain.
+func (o *Owner) spread(team, kind string) map[string]int {
+	n := make(map[string]int)
+	for _, t := range o.tasks {
+		if t.meta.Class == ibiswork.Service && t.meta.Team == team && t.kind == kind && t.counted {
+			if s := o.servers[t.server]; s != nil {
+				n[s.vm.FailureDomain]++
+			}
+		}
+	}
+	return n
+}
+
+// reserve books the places of an item and wakes the calls that wait for them.
+func (o *Owner) reserve(it *item, names []string, size ibiswork.Resources, now time.Time) {
+	it.state, it.keepUntil = reserved, now.Add(ReserveFor)
+	it.places, it.tasks = nil, nil
+	for i, name := range names {
+		it.places = append(it.places, ibiswire.Place{Index: it.indexes[i], Server: name})
+		t := &task{
+			id:   ibisserver.TaskID{Request: it.req.ID, Index: it.indexes[i], Attempt: it.attempt},
+			meta: ibiswire.Meta{Shard: it.from.Shard, Team: it.req.Team, Class: it.req.Class, Idempotent: it.req.Idempotent, Tasks: it.req.TaskCount()},
+			kind: it.req.Kind, server: name, size: size, declared: it.req.Resources, counted: true, item: it,
+		}
+		it.tasks = append(it.tasks, t)
+		o.tasks[t.id] = t
+		o.fleet.Use(name, size)
+		o.servers[name].count++
+	}
+	o.refreshAllowance(names, now)
+	close(it.placed)
+}
+
+// dropItem takes a waiting or reserved item away and frees its places.
+func (o *Owner) dropItem(it *item, why *ibiswork.Refusal) {
+	if it.dropped || it.state == starting {
+		return
+	}
+	it.dropped, it.refusal = true, why
+	if it.state == waiting {
+		o.queue.Remove(it.req.ID)
+		close(it.placed)
+	}
+	if it.state == reserved {
+		for _, t := range it.tasks {
+			o.uncount(t)
+			delete(o.tasks, t.id)
+		}
+	}
+	if o.items[it.req.ID] == it {
+		delete(o.items, it.req.ID)
+	}
+}
--- /dev/null
+++ b/ibisowner/server.go
@@ -0,0 +1,426 @@
+package ibisowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"ibiscrank/ibisplace"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// Times of the exchange with one server.
+const (
+	pollWait     = 1 * time.Second
+	pollTimeout  = 2 * time.Second
+	claimTimeout = 2 * time.Second
+	retryDelay   = 200 * time.Millisecond
+	reclaimDelay = 1 * time.Second
+)
+
+// server is one backend server that this daemon owns or tries to own. Fields are owned by the loop,
+// except api, vm and cancel, which never change.
+type server struct {
+	vm      ibisserver.VM
+	api     ibisserver.Server
+	cancel  context.CancelFunc
+	since   time.Time // when this daemon began to try
+	claimed bool
+	lapsed  bool // every lease has certainly ended
+	epoch   int64
+	reading int64     // highest clock reading, in the server's clock
+	heardAt time.Time // local time at which it came
+	seq     int64
+	count   int // tasks counted on it
+	leaving bool
+	aside   string // reason given by an operator
+	kick    context.CancelFunc
+	forgets []ibisserver.TaskID
+}
+
+// SetServers says which VMs this daemon is to own now, and which VMs are gone for good.
+func (o *Owner) SetServers(ctx context.Context, own []ibisserver.VM, gone map[string]bool) error {
+	return o.loop.Do(ctx, func() { o.setServers(own, gone) })
+}
+
+func (o *Owner) setServers(own []ibisserver.VM, gone map[string]bool) {
+	wanted := make(map[string]ibisserver.VM, len(own))
+	for _, vm := range own {
+		wanted[vm.Name] = vm
+	}
+	for name, s := range o.servers {
+		vm, ok := wanted[name]
+		switch {
+		case gone[name]:
+			o.loseServer(s, true)
+		case !ok || vm.Address != s.vm.Address:
+			if !s.claimed || (ok && vm.Address != s.vm.Address) {
+				o.loseServer(s, false)
+			}
+			// A claimed server is kept until its new owner fences this one, so that it never has none.
+		default:
+			s.leaving = vm.State == ibisserver.Leaving
+		}
+	}
+	for name, vm := range wanted {
+		if o.servers[name] == nil && !gone[name] {
+			o.addServer(vm)
+		}
+	}
+	o.refreshClosed(time.Now())
+}
+
+func (o *Owner) addServer(vm ibisserver.VM) {
+	ctx, cancel := context.WithCancel(o.ctx)
+	api, closeAPI := o.cfg.Dial(vm.Address)
+	s := &server{vm: vm, api: api, cancel: cancel, since: time.Now(), leaving: vm.State == ibisserver.Leaving}
+	o.servers[vm.Name] = s
+	o.wg.Add(2)
+	go func() {
+		defer o.wg.Done()
+		defer closeAPI()
+		o.follow(ctx, s)
+	}()
+	go func() {
+		defer o.wg.Done()
+		o.renewals(ctx, s)
+	}()
+}
+
+// loseServer forgets a server. The tasks of a VM that is gone are lost; those of a server that has a new
+// owner are that owner's to report.
+func (o *Owner) loseServer(s *server, gone bool) {
+	s.cancel()
+	delete(o.servers, s.vm.Name)
+	for _, t := range o.tasks {
+		if t.server != s.vm.Name {
+			continue
+		}
+		if gone && t.sent {
+			o.end(t, o.event(t, ibiswire.TaskLost))
+			continue
+		}
+		o.uncount(t)
+		delete(o.tasks, t.id)
+		o.endItem(t)
+	}
+	for id, out := range o.outbox {
+		if out.event.Server == s.vm.Name && !gone {
+			delete(o.outbox, id) // the new owner reports it from the server's records
+		}
+	}
+	o.fleet.Remove(s.vm.Name)
+	o.guard.Remove(s.vm.Name)
+}
+
+// fenced gives up a server that obeys a higher epoch.
+func (o *Owner) fenced(s *server) {
+	_ = o.loop.Do(o.ctx, func() {
+		if o.servers[s.vm.Name] == s {
+			log.WithFields(log.Fields{"server": s.vm.Name, "epoch": s.epoch}).Info("ServerFenced")
+			o.loseServer(s, false)
+		}
+	})
+}
+
+// follow claims a server and polls it until it is given up.
+func (o *Owner) follow(ctx context.Context, s *server) {
+	for ctx.Err() == nil {
+		if !o.claim(ctx, s) {
+			sleep(ctx, retryDelay)
+			continue
+		}
+		o.poll(ctx, s)
+	}
+}
+
+// claim makes this daemon the owner, with an epoch above every one that the server has seen.
+func (o *Owner) claim(ctx context.Context, s *server) bool {
+	if !o.cfg.HasNews(time.Now()) {
+		return false // a daemon that is cut off takes nothing from others
+	}
+	epoch := s.epoch + 1
+	for range 3 {
+		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		reply, err := s.api.Claim(callCtx, ibisserver.ClaimRequest{Epoch: epoch, Owner: o.cfg.Self})
+		cancel()
+		switch {
+		case err == nil:
+			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch) }) == nil
+		case ibisserver.Fenced.Has(err):
+			epoch = max(epoch, reply.Epoch) + 1
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// claimedServer takes in a server's list of tasks: they count before anything is placed.
+func (o *Owner) claimedServer(s *server, reply ibisserver.ClaimReply, epoch int64) {
+	if o.servers[s.vm.Name] != s {
+		return
+	}
+	now := time.Now()
+	s.claimed, s.lapsed, s.epoch, s.seq = true, false, epoch, reply.Seq
+	s.reading, s.heardAt = reply.Clock, now
+	o.fleet.Put(ibisplace.Server{
+		Name: s.vm.Name, FailureDomain: s.vm.FailureDomain, Rack: s.vm.Rack, Capacity: reply.Capacity,
+		Used: o.countedOn(s.vm.Name), Closed: true,
+	})
+	seen := make(map[ibisserver.TaskID]bool, len(reply.Records))
+	for _, r := range reply.Records {
+		seen[r.Task.ID] = true
+	}
+	o.records(s, reply.Records, now)
+	for _, t := range o.tasks {
+		if t.server == s.vm.Name && t.sent && !seen[t.id] && (t.item == nil || t.item.state == running) {
+			t.sent = t.started
+			o.end(t, o.event(t, ibiswire.TaskLost))
+		}
+	}
+	o.refreshClosed(now)
+	o.round(now)
+	log.WithFields(log.Fields{"server": s.vm.Name, "epoch": epoch, "records": len(reply.Records)}).Info("ServerClaimed")
+}
+
+func (o *Owner) countedOn(name string) ibiswork.Resources {
+	var used ibiswork.Resources
+	for _, t := range o.tasks {
+		if t.server == name && t.counted {
+			used = used.Add(t.size)
+		}
+	}
+	return used
+}
+
+// resync makes the follower of s claim it again, to learn the whole list of its tasks.
+func (o *Owner) resync(s *server) {
+	if s != nil && s.kick != nil {
+		s.kick()
+	}
+}
+
+// poll waits for changes of the tasks of s until the server is to be claimed again.
+func (o *Owner) poll(ctx context.Context, s *server) {
+	pollCtx, kick := context.WithCancel(ctx)
+	defer kick()
+	if o.loop.Do(ctx, func() { s.kick = kick }) != nil {
+		return
+	}
+	failures := 0
+	for pollCtx.Err() == nil {
+		var req ibisserver.PollRequest
+		if o.loop.Do(pollCtx, func() {
+			req = ibisserver.PollRequest{Epoch: s.epoch, After: s.seq, WaitMS: pollWait.Milliseconds()}
+		}) != nil {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(pollCtx, pollTimeout)
+		reply, err := s.api.Poll(callCtx, req)
+		cancel()
+		switch {
+		case err == nil:
+			failures = 0
+			if o.loop.Do(pollCtx, func() { o.polled(s, reply) }) != nil {
+				return
+			}
+		case ibisserver.Fenced.Has(err):
+			o.fenced(s)
+			sleep(ctx, reclaimDelay)
+			return
+		default:
+			if failures++; failures > 2 {
+				return
+			}
+			sleep(pollCtx, retryDelay)
+		}
+	}
+}
+
+func (o *Owner) polled(s *server, reply ibisserver.Reply) {
+	if o.servers[s.vm.Name] != s {
+		return
+	}
+	now := time.Now()
+	o.read(s, reply.Clock, now)
+	s.seq = max(s.seq, reply.Seq)
+	if len(reply.Records) > 0 {
+		o.records(s, reply.Records, now)
+		o.round(now)
+	}
+}
+
+// read keeps the highest clock reading of s.
+func (o *Owner) read(s *server, clock int64, now time.Time) {
+	if clock > s.reading {
+		s.reading, s.heardAt = clock, now
+	}
+}
+
+// records takes in what the server says of its tasks.
+func (o *Owner) records(s *server, records []ibisserver.Record, now time.Time) {
+	for _, r := range records {
+		t := o.tasks[r.Task.ID]
+		ended := r.State != ibisserver.Running
+		if t == nil {
+			if _, reporting := o.outbox[r.Task.ID]; reporting && ended {
+				continue
+			}
+			t = o.adopt(s.vm.Name, r)
+			if !ended {
+				o.tasks[t.id] = t
+				t.counted = true
+				o.fleet.Use(s.vm.Name, t.size)
+				o.cfg.Ledger.Use(t.meta.Team, t.size)
+				o.queue.Charge(t.meta.Team, t.size)
+				s.count++
+				o.send(o.event(t, ibiswire.TaskRunning), t)
+				continue
+			}
+		}
+		if !ended {
+			t.started = true
+			continue
+		}
+		e := o.fromRecord(t, r)
+		e.Blameless = o.observe(t, r, now)
+		o.end(t, e)
+	}
+}
+
+// renewals extends the leases of the running tasks of s.
+func (o *Owner) renewals(ctx context.Context, s *server) {
+	for sleep(ctx, o.cfg.Lease/4) {
+		var req ibisserver.RenewRequest
+		if o.loop.Do(ctx, func() { req = o.renewal(s) }) != nil {
+			return
+		}
+		if len(req.Leases) == 0 {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+		reply, err := s.api.Renew(callCtx, req)
+		cancel()
+		switch {
+		case err == nil:
+			_ = o.loop.Do(ctx, func() { o.renewed(s, req, reply) })
+		case ibisserver.Fenced.Has(err):
+			o.fenced(s)
+			return
+		default:
+			_ = o.loop.Do(ctx, func() { o.renewalFailed(req) })
+		}
+	}
+}
+
+// renewal lists the leases of s to extend. An owner without news for long extends none, so that another
+// may count on their end.
+func (o *Owner) renewal(s *server) ibisserver.RenewRequest {
+	req := ibisserver.RenewRequest{Epoch: s.epoch}
+	if !s.claimed || time.Since(time.Unix(0, o.newsAt.Load())) > OrphanRenewal {
+		return req
+	}
+	for _, t := range o.tasks {
+		if t.server == s.vm.Name && t.started && !t.stopping {
+			req.Leases = append(req.Leases, ibisserver.Lease{ID: t.id, End: s.reading + o.cfg.Lease.Milliseconds()})
+		}
+	}
+	return req
+}
+
+func (o *Owner) renewed(s *server, req ibisserver.RenewRequest, reply ibisserver.Reply) {
+	now := time.Now()
+	o.read(s, reply.Clock, now)
+	for _, l := range req.Leases {
+		if t := o.tasks[l.ID]; t != nil {
+			o.fireLease(t, "Renew")
+		}
+	}
+	o.records(s, reply.Records, now)
+}
+
+func (o *Owner) renewalFailed(req ibisserver.RenewRequest) {
+	for _, l := range req.Leases {
+		if t := o.tasks[l.ID]; t != nil {
+			o.fireLease(t, "Silence")
+		}
+	}
+}
+
+// checkLapse finds out whether every lease on an unreachable server has certainly ended.
+func (o *Owner) checkLapse(s *server, now time.Time) {
+	if s.lapsed {
+		return
+	}
+	if s.claimed {
+		if now.Sub(s.heardAt) > o.cfg.Lease+driftMargin {
+			o.lapse(s)
+		}
+		return
+	}
+	// Never claimed here: an earlier owner without news may have renewed for OrphanRenewal.
+	if now.Sub(s.since) > OrphanRenewal+o.cfg.Lease+driftMargin {
+		s.lapsed = true
+	}
+}
+
+func (o *Owner) lapse(s *server) {
+	s.lapsed = true
+	log.WithField("server", s.vm.Name).Warn("ServerLapsed")
+	for _, t := range o.tasks {
+		if t.server == s.vm.Name && t.sent {
+			o.end(t, o.event(t, ibiswire.TaskLost))
+		}
+	}
+	o.refreshClosed(time.Now())
+}
+
+// refreshClosed closes to new work the servers that are leaving, set aside, on probation with enough
+// work, silent, or lapsed.
+func (o *Owner) refreshClosed(now time.Time) {
+	aside := o.cfg.Snapshot().SetAside
+	for name, s := range o.servers {
+		f, ok := o.fleet.Server(name)
+		if !ok {
+			continue
+		}
+		s.aside = aside[name]
+		closed := o.shut(s, now)
+		if closed != f.Closed {
+			f.Closed = closed
+			o.fleet.Put(f)
+		}
+	}
+}
+
+func (o *Owner) shut(s *server, now time.Time) bool {
+	return !s.claimed || s.lapsed || s.leaving || s.aside != "" ||
+		now.Sub(s.heardAt) > StartWindow || s.count >= o.guard.Allowance(s.vm.Name, now)
+}
+
+// refreshAllowance closes servers on probation that have just been given work.
+func (o *Owner) refreshAllowance(names []string, now time.Time) {
+	for _, name := range names {
+		s := o.servers[name]
+		if f, ok := o.fleet.Server(name); ok && s != nil && !f.Closed && o.shut(s, now) {
+			f.Closed = true
+			o.fleet.Put(f)
+		}
+	}
+}
+
+// sleep waits for d and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/ibispeer/peers.go
@@ -0,0 +1,441 @@
+// Package ibispeer keeps the view that a daemon has of the others: heartbeats with digests, the rows of
+// incarnations in the store, and the revocation of daemons that have gone silent.
+//
+// The view is a hint that decides who tries; safety never rests on it. What makes a takeover safe is the
+// revocation, a conditional write, after which the revoked daemon can write nothing more.
+//
+// Usage:
+//
+//	p, stop := ibispeer.Start(ibispeer.Config{Self: row, Table: t, Fence: inc.Fence(), Pool: pool, Heartbeat: 250 * time.Millisecond}, hooks)
+//	defer stop()
+//	view := p.View()
+package ibispeer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/zeebo/errs"
+
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibisloop"
+	"ibiscrank/ibisrpc"
+	"ibiscrank/ibistable"
+	"ibiscrank/ibiswire"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("peer")
+
+// Bounds of one heartbeat round, so that its cost stays flat however many daemons there are.
+const (
+	Fanout         = 6
+	DigestsCarried = 12
+)
+
+// Intervals of the exchange with the store.
+const (
+	BeatInterval      = 1 * time.Second
+	beatsPerSecond    = 20 // of all daemons together
+	heartbeatTimeout  = 1 * time.Second
+	storeTimeout      = 2 * time.Second
+	silentFactor      = 3 // times RevokeAfter, when the store still hears a daemon that the others do not
+	rowScanLimit      = 10000
+	endedRowRetention = 10 * time.Minute
+)
+
+// Config is what Start needs.
+type Config struct {
+	Self        ibisincarnation.Row
+	Table       ibistable.Table
+	Fence       ibistable.Write
+	Pool        *ibisrpc.Pool
+	Heartbeat   time.Duration
+	RevokeAfter time.Duration
+	CutOff      time.Duration
+	Seeds       []string // addresses to try while no daemon is known
+}
+
+// Hooks are what the rest of the daemon says and is told. All are called on other goroutines.
+type Hooks struct {
+	State   func() string // of the incarnation chart
+	Load    func() Load   // of the owned backend servers
+	Config  func() int64  // version in force
+	Denied  func() []ibisconfig.KeyHash
+	Learned func(Member, []ibisconfig.KeyHash) // a heartbeat came from this member
+	Changed func(*View)                        // the set of members changed
+	Revoked func()                             // this incarnation was revoked
+}
+
+// Peers keeps the view.
+type Peers struct {
+	cfg     Config
+	hooks   Hooks
+	loop    *ibisloop.Loop
+	view    atomic.Pointer[View]
+	members map[string]*Member // owned by loop
+	revoked map[string]bool    // owned by loop
+	ended   map[string]time.Time
+	storeAt time.Time
+	known   bool
+	seq     int64
+	beatVer int64
+	rand    *rand.Rand
+	wg      sync.WaitGroup
+}
+
+// Start begins heartbeats; the second result ends them.
+func Start(cfg Config, hooks Hooks) (*Peers, func()) {
+	loop, stopLoop := ibisloop.New(1024)
+	p := &Peers{
+		cfg: cfg, hooks: hooks, loop: loop,
+		members: make(map[string]*Member), revoked: make(map[string]bool), ended: make(map[string]time.Time),
+		rand: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+	}
+	p.view.Store(&View{Self: cfg.Self.ID, Revoked: map[string]bool{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	p.wg.Add(2)
+	go p.heartbeats(ctx)
+	go p.storeRounds(ctx)
+	return p, func() {
+		cancel()
+		p.wg.Wait()
+		stopLoop()
+	}
+}
+
+// View is the present picture; it is never changed after it was published.
+func (p *Peers) View() *View { return p.view.Load() }
+
+// HasNews reports whether this daemon has heard lately from the store or from half of the daemons, so
+// that a withdrawal that was accepted anywhere has reached it.
+func (p *Peers) HasNews(now time.Time) bool {
+	v := p.View()
+	if now.Sub(v.StoreAt) <= p.cfg.CutOff {
+		return true
+	}
+	heard := 1
+	for _, m := range v.Members {
+		if m.ID() != v.Self && now.Sub(m.Direct) <= p.cfg.CutOff {
+			heard++
+		}
+	}
+	return v.Known && 2*heard >= len(v.Members)
+}
+
+// Heartbeat answers another daemon's heartbeat.
+func (p *Peers) Heartbeat(ctx context.Context, g *Gossip) (*Gossip, error) {
+	var reply *Gossip
+	err := p.loop.Do(ctx, func() {
+		p.merge(g)
+		reply = p.gossip()
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p.notify(g)
+	return reply, nil
+}
+
+func (p *Peers) heartbeats(ctx context.Context) {
+	defer p.wg.Done()
+	tick := time.NewTicker(p.cfg.Heartbeat)
+	defer tick.Stop()
+	for {
+		var targets []string
+		var g *Gossip
+		if err := p.loop.Do(ctx, func() { targets, g = p.targets(), p.gossip() }); err != nil {
+			return
+		}
+		for _, addr := range targets {
+			go p.exchange(ctx, addr, g)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (p *Peers) exchange(ctx context.Context, addr string, g *Gossip) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	reply, err := ibisrpc.Call[Gossip](ctx, p.cfg.Pool, addr, ibiswire.MethodHeartbeat, g)
+	if err != nil {
+		return
+	}
+	if p.loop.Do(ctx, func() { p.merge(reply) }) == nil {
+		p.notify(reply)
+	}
+}
+
+// notify tells the rest of the daemon what the sender of g said.
+func (p *Peers) notify(g *Gossip) {
+	if len(g.Digests) == 0 {
+		return
+	}
+	if m, ok := p.View().Find(g.Digests[0].Row.ID); ok {
+		p.hooks.Learned(m, g.Denied)
+	}
+}
+
+// targets chooses the daemons of one round: all of them while they are few, else the next ones in order
+// of IDs and some at random, so that news reaches everybody in few rounds.
+func (p *Peers) targets() []string {
+	var addrs []string
+	ids := p.otherIDs()
+	switch {
+	case len(ids) == 0:
+		addrs = append(addrs, p.cfg.Seeds...)
+	case len(ids) <= Fanout:
+		for _, id := range ids {
+			addrs = append(addrs, p.members[id].Digest.Row.Address)
+		}
+	default:
+		next := sort.SearchStrings(ids, p.cfg.Self.ID)
+		for i := range Fanout / 2 {
+			addrs = append(addrs, p.members[ids[(next+i)%len(ids)]].Digest.Row.Address)
+		}
+		for range Fanout - Fanout/2 {
+			addrs = append(addrs, p.members[ids[p.rand.IntN(len(ids))]].Digest.Row.Address)
+		}
+	}
+	return addrs
+}
+
+func (p *Peers) otherIDs() []string {
+	ids := make([]string, 0, len(p.members))
+	for id := range p.members {
+		if id != p.cfg.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// gossip is the next heartbeat: this daemon's digest first, then the newest of others.
+func (p *Peers) gossip() *Gossip {
+	p.seq++
+	self := Digest{
+		Row: p.cfg.Self, Seq: p.seq, State: p.hooks.State(), ConfigVersion: p.hooks.Config(),
+		StoreHealthy: time.Since(p.storeAt) < p.cfg.CutOff, Load: p.hooks.Load(),
+	}
+	p.members[self.Row.ID] = &Member{Digest: self, Heard: time.Now(), Direct: time.Now(), BeatAt: time.Now()}
+	p.publish()
+	g := &Gossip{Digests: []Digest{self}, Denied: p.hooks.Denied()}
+	others := p.otherIDs()
+	sort.Slice(others, func(i, j int) bool { return p.members[others[i]].Heard.After(p.members[others[j]].Heard) })
+	for _, id := range others[:min(len(others), DigestsCarried)] {
+		g.Digests = append(g.Digests, p.members[id].Digest)
+	}
+	for id := range p.revoked {
+		if len(g.Revoked) < DigestsCarried {
+			g.Revoked = append(g.Revoked, id)
+		}
+	}
+	return g
+}
+
+// merge takes in a heartbeat; its first digest is the sender's own.
+func (p *Peers) merge(g *Gossip) {
+	now := time.Now()
+	for _, id := range g.Revoked {
+		p.forget(id)
+	}
+	for i, d := range g.Digests {
+		id := d.Row.ID
+		if id == p.cfg.Self.ID || p.revoked[id] {
+			continue
+		}
+		m, ok := p.members[id]
+		if !ok {
+			if _, gone := p.ended[id]; gone || (i > 0 && p.known) {
+				continue // an unknown third party is learned from the store or from itself
+			}
+			m = &Member{BeatAt: now}
+			p.members[id] = m
+		}
+		if d.Seq > m.Digest.Seq {
+			m.Digest, m.Heard = d, now
+		}
+		if i == 0 {
+			m.Heard, m.Direct = now, now
+		}
+	}
+	p.known = p.known || len(g.Digests) > 0
+	p.publish()
+}
+
+// forget drops a revoked incarnation for good.
+func (p *Peers) forget(id string) {
+	if p.revoked[id] {
+		return
+	}
+	p.revoked[id] = true
+	delete(p.members, id)
+	if id == p.cfg.Self.ID {
+		go p.hooks.Revoked()
+	}
+}
+
+// publish makes a new view, and says so when the set of members changed.
+func (p *Peers) publish() {
+	old := p.view.Load()
+	v := &View{Self: p.cfg.Self.ID, Revoked: make(map[string]bool, len(p.revoked)), StoreAt: p.storeAt, Known: p.known}
+	for id := range p.revoked {
+		v.Revoked[id] = true
+	}
+	for _, m := range p.members {
+		v.Members = append(v.Members, *m)
+	}
+	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].ID() < v.Members[j].ID() })
+	p.view.Store(v)
+	if strings.Join(old.IDs(), ",") != strings.Join(v.IDs(), ",") || len(old.Revoked) != len(v.Revoked) {
+		go p.hooks.Changed(v)
+	}
+}
+
+// beat is the value of a daemon's row that shows the store that it lives.
+type beat struct {
+	Seq int64 `json:"Seq"`
+}
+
+const beatPrefix = "beat/"
+
+// storeRounds writes this daemon's beat and reads everybody's rows, again and again.
+func (p *Peers) storeRounds(ctx context.Context) {
+	defer p.wg.Done()
+	for seq := int64(1); ; seq++ {
+		p.storeRound(ctx, seq)
+		wait := max(BeatInterval, time.Duration(len(p.View().Members))*time.Second/beatsPerSecond)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (p *Peers) storeRound(ctx context.Context, seq int64) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if !p.writeBeat(ctx, seq) {
+		return
+	}
+	rows, err := ibisincarnation.List(ctx, p.cfg.Table)
+	if err != nil {
+		return
+	}
+	beats, err := p.cfg.Table.Scan(ctx, beatPrefix, ibistable.PrefixEnd(beatPrefix), rowScanLimit)
+	if err != nil {
+		return
+	}
+	var silent []string
+	err = p.loop.Do(ctx, func() {
+		p.applyRows(rows, beats)
+		silent = p.silent(time.Now())
+		p.publish()
+	})
+	if err != nil {
+		return
+	}
+	for _, id := range silent {
+		p.revoke(ctx, id)
+	}
+}
+
+// writeBeat shows that this daemon lives, and learns whether it was revoked.
+func (p *Peers) writeBeat(ctx context.Context, seq int64) bool {
+	value, err := json.Marshal(beat{Seq: seq})
+	if err != nil {
+		return false
+	}
+	_, err = p.cfg.Table.Commit(ctx, p.cfg.Fence, ibistable.Put(beatPrefix+p.cfg.Self.ID, ibistable.Any, value))
+	if ibistable.Conflict.Has(err) {
+		log.WithField("incarnation", p.cfg.Self.ID).Error("IncarnationRevoked")
+		p.hooks.Revoked()
+	}
+	return err == nil
+}
+
+func (p *Peers) applyRows(rows []ibisincarnation.Row, beats []ibistable.Row) {
+	now := time.Now()
+	p.storeAt, p.known = now, true
+	listed := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		listed[r.ID] = true
+		switch {
+		case r.State == ibisincarnation.Revoked:
+			p.forget(r.ID)
+		case r.State == ibisincarnation.Ended:
+			delete(p.members, r.ID)
+			p.ended[r.ID] = now
+		case p.members[r.ID] == nil && !p.revoked[r.ID]:
+			p.members[r.ID] = &Member{Digest: Digest{Row: r}, Heard: now, BeatAt: now}
+		}
+	}
+	for _, b := range beats {
+		m := p.members[strings.TrimPrefix(b.Key, beatPrefix)]
+		if m != nil && b.Version != m.beatSeq {
+			m.beatSeq, m.BeatAt = b.Version, now
+		}
+	}
+	for id := range p.revoked {
+		if !listed[id] {
+			delete(p.revoked, id) // its row has been cleared away, after all that it left behind
+			p.ended[id] = now
+		}
+	}
+	for id, at := range p.ended {
+		if now.Sub(at) > endedRowRetention {
+			delete(p.ended, id)
+		}
+	}
+}
+
+// silent lists the daemons to revoke: those that neither the daemons nor the store hear, and those that
+// the store hears but more than half of the daemons have not heard for longer.
+func (p *Peers) silent(now time.Time) []string {
+	heard := 1
+	for id, m := range p.members {
+		if id != p.cfg.Self.ID && now.Sub(m.Heard) < p.cfg.RevokeAfter {
+			heard++
+		}
+	}
+	var ids []string
+	for id, m := range p.members {
+		if id == p.cfg.Self.ID {
+			continue
+		}
+		quiet, still := now.Sub(m.Heard), now.Sub(m.BeatAt)
+		dead := quiet > p.cfg.RevokeAfter && still > p.cfg.RevokeAfter+BeatInterval
+		isolated := quiet > silentFactor*p.cfg.RevokeAfter && 2*heard > len(p.members)
+		if dead || isolated {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (p *Peers) revoke(ctx context.Context, id string) {
+	err := ibisincarnation.Revoke(ctx, p.cfg.Table, id, "silent")
+	if err != nil {
+		log.WithFields(log.Fields{"incarnation": id, "error": err}).Warn("RevocationFailed")
+		return
+	}
+	log.WithField("incarnation", id).Info("PeerRevoked")
+	_ = p.loop.Do(ctx, func() {
+		p.forget(id)
+		p.publish()
+	})
+}
