--- /dev/null
+++ b/ibisallot/plan.go
@@ -0,0 +1,144 @@
+package ibisallot
+
+import (
+	"slices"
+
+	"ibiscrank/ibiswork"
+)
+
+// Parts of an amount, as divisors.
+const (
+	headUsed  = 4 // headroom is a quarter of what is used,
+	headLimit = 4 // or a quarter of an even part of the limit, whichever is more
+	idleHeads = 3 // headrooms that an idle team may keep before the rest is given back
+)
+
+// kind is the state of one team's allotment for one kind of capacity, and its decision.
+type kind struct {
+	limit   int64 // of the whole fleet
+	daemons int64 // live incarnations
+	sum     int64 // of all allotments in the row
+	row     int64 // the own allotment in the row
+	held    int64 // of that, what has not been given up yet
+	used    int64
+	unmet   int64 // own demand beyond used that was refused
+	others  int64 // unmet demand of other daemons
+	first   int64 // of these, the ones that go before this daemon
+	idle    bool  // nothing has changed for a while
+}
+
+// decide returns the allotment to hold from now on, and how much of it to give up as tasks end. The sum
+// of the row stays at most the limit unless it was above it before, in which case it only falls.
+func (k kind) decide() (target, yield int64) {
+	unused := max(0, k.held-k.used)
+	if over := k.sum - k.limit; over > 0 {
+		give := min(unused, over)
+		return k.held - give, over - give
+	}
+	if k.others > 0 {
+		return k.share(unused)
+	}
+	need := k.used + k.unmet
+	head := max(k.used/headUsed, k.limit/(headLimit*k.daemons))
+	switch {
+	case need > 0 && k.held < need+(head+1)/2:
+		return min(k.room(), max(k.held, need+head)), 0
+	case k.idle && k.held > need+idleHeads*head:
+		return need + head, 0
+	}
+	return k.held, 0
+}
+
+// room is the largest allotment that keeps the sum within the limit.
+func (k kind) room() int64 { return max(k.held, k.limit-(k.sum-k.row)) }
+
+// share decides while other daemons lack capacity. What is not needed here is given up at once. Above an
+// even part of the limit, more is given up as tasks end; at or below it, unused capacity goes to those
+// that come first in order, so that two daemons which each need the whole do not keep half each.
+func (k kind) share(unused int64) (target, yield int64) {
+	even := k.limit / k.daemons
+	need := k.used + k.unmet
+	if spare := k.held - need; spare > 0 {
+		return k.held - min(spare, k.others), 0
+	}
+	if k.held > even {
+		give := min(unused, k.others, k.held-even)
+		return k.held - give, min(k.others-give, k.held-even-give)
+	}
+	if give := min(unused, k.first); give > 0 {
+		return k.held - give, 0
+	}
+	free := k.limit - (k.sum - k.row) - k.held
+	return max(k.held, min(k.room(), need, max(even, k.held+free-k.others))), 0
+}
+
+// amounts lists the kinds of capacity.
+func amounts(r ibiswork.Resources) [4]int64 {
+	return [4]int64{r.MilliCPU, r.MemoryMB, r.Accelerators, r.Slots}
+}
+
+func resources(a [4]int64) ibiswork.Resources {
+	return ibiswork.Resources{MilliCPU: a[0], MemoryMB: a[1], Accelerators: a[2], Slots: a[3]}
+}
+
+// state is what one daemon knows of one team when it decides.
+type state struct {
+	row    Row
+	self   string
+	live   []string // includes self
+	limit  ibiswork.Resources
+	held   ibiswork.Resources
+	used   ibiswork.Resources
+	unmet  ibiswork.Resources
+	idle   bool
+	repeat bool // write the row even when nothing changes
+}
+
+// decision is the row to write, if it differs, and what to give up as tasks end.
+type decision struct {
+	row    Row
+	target ibiswork.Resources
+	yield  ibiswork.Resources
+	write  bool
+	urgent bool
+}
+
+func (s state) decide() decision {
+	var first ibiswork.Resources
+	for inc, a := range s.row.Wanted {
+		if inc < s.self && slices.Contains(s.live, inc) {
+			first = first.Add(a)
+		}
+	}
+	limit, sum, row := amounts(s.limit), amounts(s.row.Sum()), amounts(s.row.Held[s.self])
+	held, used, unmet := amounts(s.held), amounts(s.used), amounts(s.unmet)
+	others, before := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first)
+	var target, yield, wanted [4]int64
+	for i := range limit {
+		target[i], yield[i] = kind{
+			limit: limit[i], daemons: int64(max(1, len(s.live))), sum: sum[i], row: row[i], held: held[i],
+			used: used[i], unmet: unmet[i], others: others[i], first: before[i], idle: s.idle,
+		}.decide()
+		wanted[i] = max(0, min(used[i]+unmet[i], limit[i])-target[i])
+	}
+	d := decision{target: resources(target), yield: resources(yield)}
+	d.row = s.row.with(s.self, d.target)
+	if w := resources(wanted); differs(w, s.row.Wanted[s.self]) {
+		d.row = d.row.withWanted(s.self, w)
+		d.write = true
+	}
+	d.write = d.write || s.repeat || d.target != s.row.Held[s.self]
+	d.urgent = s.repeat || !s.unmet.IsZero() || !positive(s.row.Held[s.self].Sub(d.target)).IsZero()
+	return d
+}
+
+// differs reports whether the demand on record is so far from the present one that it is written again.
+func differs(now, recorded ibiswork.Resources) bool {
+	n, r := amounts(now), amounts(recorded)
+	for i := range n {
+		if (n[i] == 0) != (r[i] == 0) || n[i] > 2*r[i] || 2*n[i] < r[i] {
+			return true
+		}
+	}
+	return false
+}
