--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -16,7 +16,7 @@
 
 // Times and bounds of a driver.
 const (
-	durableWait     = 5 * time.Second        // of one Place call for durable work
+	durableWait     = 5 * time.Second         // of one Place call for durable work
 	interactiveWait = 1500 * time.Millisecond // of one Place call for interactive work
 	callMargin      = 2 * time.Second         // of a call beyond the wait that it asks for
 	startWait       = 8 * time.Second
@@ -118,7 +118,7 @@
 	left, bounded := e.timeLeft(now)
 	if bounded && left <= 0 {
 		r := ibiswork.Refuse(ibiswork.CodeDeadline, "the deadline passed before the request could be started").WithRetryAfter(overloadRetry)
-		if e.saved.Failures > 0 {
+		if e.saved.Ran {
 			r = r.WithMaybeRun()
 		}
 		e.finish("Refuse", nil, r, now)
@@ -180,7 +180,6 @@
 	h.placed(ctx, e, reply, err)
 }
 
-
 // placed takes in the reply to a Place call.
 func (h *Holder) placed(ctx context.Context, e *entry, reply *ibiswire.PlaceReply, err error) {
 	if err != nil {
@@ -218,7 +217,7 @@
 		e.fire("Lose")
 		e.mu.Unlock()
 		return
-	case refused && refusal.Code == ibiswork.CodeDeadline && refusal.NotRun && e.saved.Failures == 0:
+	case refused && refusal.Code == ibiswork.CodeDeadline && refusal.NotRun && !e.saved.Ran:
 		e.finish("Refuse", nil, refusal.WithRetryAfter(overloadRetry), time.Now())
 		e.mu.Unlock()
 		return
@@ -406,6 +405,7 @@
 		a.Outcome = ibiswork.Failed
 		e.finish("Finish", a, nil, now)
 	case again:
+		e.saved.Ran = e.saved.Ran || e.anyRan()
 		if worst.State == ibiswire.TaskFailed {
 			e.saved.Failures++
 			e.avoid = append(e.avoid, worst.Server)
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -32,6 +32,7 @@
 	AcceptedMS int64             `json:"AcceptedMS"` // Unix milliseconds
 	Attempt    int               `json:"Attempt"`
 	Failures   int               `json:"Failures,omitempty"`
+	Ran        bool              `json:"Ran,omitempty"`    // an earlier attempt may have run
 	Places     []ibiswire.Place  `json:"Places,omitempty"` // of Attempt, once it may have been started
 	Cancelled  bool              `json:"Cancelled,omitempty"`
 	Checkpoint []byte            `json:"Checkpoint,omitempty"`
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -2,8 +2,8 @@
 // daemon they came to, and from which the request is driven to its end.
 //
 // The rows of shards in the store say who holds which shard. A holder journals what must last, asks owners
-// of backend servers for places, and collects the ends of tasks. One goroutine, the loop, owns the rows;
-// every accepted request has a driver goroutine of its own.
+// of backend servers for places, and collects the ends of tasks. One goroutine controls which shards are
+// held; every accepted request has a driver goroutine of its own.
 //
 // Usage:
 //
@@ -24,7 +24,6 @@
 
 	"ibiscrank/ibisconfig"
 	"ibiscrank/ibisjournal"
-	"ibiscrank/ibisloop"
 	"ibiscrank/ibispeer"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibisserver"
@@ -66,7 +65,7 @@
 // Holder holds some request shards.
 type Holder struct {
 	cfg      Config
-	loop     *ibisloop.Loop
+	rowsMu   sync.Mutex // serializes changes of rows
 	ctx      context.Context
 	wg       sync.WaitGroup
 	shards   []*shard
@@ -82,13 +81,12 @@
 
 // New starts a holder without shards; the second result ends its goroutines.
 func New(cfg Config) (*Holder, func()) {
-	loop, stopLoop := ibisloop.New(256)
 	ctx, cancel := context.WithCancel(context.Background())
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	h := &Holder{
-		cfg: cfg, loop: loop, ctx: ctx, wake: make(chan struct{}, 1), sources: newSourceCache(cfg.Table),
+		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), sources: newSourceCache(cfg.Table, func(id string) bool { return cfg.View().Revoked[id] }),
 		refused: metrics.NewRegisteredCounter("RequestsRefused", cfg.Metrics),
 		ended:   metrics.NewRegisteredCounter("RequestsEnded", cfg.Metrics),
 	}
@@ -105,7 +103,6 @@
 			sh.stop()
 		}
 		h.wg.Wait()
-		stopLoop()
 	}
 }
 
@@ -367,18 +364,14 @@
 
 // save journals the present state of e. Nothing is written for work that need not last.
 func (h *Holder) save(ctx context.Context, e *entry) error {
-	e.mu.Lock()
-	if !e.durable {
-		e.mu.Unlock()
+	if !e.isDurable() {
 		return nil
 	}
-	e.saved.Rev++
-	body, err := e.saved.encode()
-	e.mu.Unlock()
+	rec, err := h.record(e)
 	if err != nil {
 		return err
 	}
-	return h.cfg.Journal.Append(ctx, ibisjournal.Record{Request: e.id, Shard: e.shard.id, Body: body})
+	return h.cfg.Journal.Append(ctx, rec)
 }
 
 // jitter is a random time between half of d and d.
--- a/ibisserver/server.go
+++ b/ibisserver/server.go
@@ -7,7 +7,8 @@
 //
 // Usage:
 //
-//	s := ibisserver.NewClient("10.0.0.7:9000")
+//	s, stop := ibisserver.NewClient("10.0.0.7:9000")
+//	defer stop()
 //	c, err := s.Claim(ctx, ibisserver.ClaimRequest{Epoch: 4, Owner: "i-17"})
 //	_, err = s.Start(ctx, ibisserver.StartRequest{Epoch: 4, Task: t, StartBy: c.Clock + 2000, LeaseEnd: c.Clock + 10000})
 package ibisserver
