Add clients of the platform and stand-ins of it

Cause: nothing could speak to the table service, the object store, the list of VMs or a backend server, and there was nothing for tests to speak to.

Change: HTTP+JSON clients in ibistable and ibisserver.

--- /dev/null
+++ b/ibisserver/wire.go
@@ -0,0 +1,85 @@
+package ibisserver
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Paths of the HTTP interface; every call is a POST with the request as JSON.
+const (
+	PathClaim   = "/claim"
+	PathStart   = "/start"
+	PathRenew   = "/renew"
+	PathControl = "/control"
+	PathPoll    = "/poll"
+	PathVMs     = "/vms" // GET, on the address of the VM list
+)
+
+// Reason says why a call was rejected.
+type Reason string
+
+// The reasons of a rejection.
+const (
+	NotClaimed    Reason = "NotClaimed"    // the epoch is above every epoch that has claimed the server
+	StartByPassed Reason = "StartByPassed" // the start came too late
+	LeaseEnded    Reason = "LeaseEnded"    // the lease of a start has ended already
+	BadRequest    Reason = "BadRequest"
+)
+
+// Codes of an ErrorReply.
+const (
+	CodeFenced   = "Fenced"
+	CodeRejected = "Rejected"
+)
+
+// ErrorReply is the body of every answer that is not a success. It promises that nothing was done.
+type ErrorReply struct {
+	Code    string `json:"Code"` // CodeFenced or CodeRejected
+	Reason  Reason `json:"Reason,omitempty"`
+	Message string `json:"Message,omitempty"`
+	Epoch   int64  `json:"Epoch,omitempty"` // the highest seen
+	Clock   int64  `json:"Clock"`
+	Seq     int64  `json:"Seq"`
+}
+
+// EpochError is the cause of a Fenced error.
+type EpochError struct{ Highest int64 }
+
+// Error names the highest epoch that the server has seen.
+func (e *EpochError) Error() string { return fmt.Sprintf("highest epoch is %d", e.Highest) }
+
+// RejectError is the cause of a Rejected error.
+type RejectError struct {
+	Reason  Reason
+	Message string
+}
+
+// Error gives the reason and what the server said.
+func (e *RejectError) Error() string { return fmt.Sprintf("%s: %s", e.Reason, e.Message) }
+
+// HighestEpoch reads the highest epoch that the server has seen from a Fenced error.
+func HighestEpoch(err error) (int64, bool) {
+	if e, ok := errors.AsType[*EpochError](err); ok {
+		return e.Highest, true
+	}
+	return 0, false
+}
+
+// ReasonOf reads the reason of a Rejected error; it is empty for any other error.
+func ReasonOf(err error) Reason {
+	if e, ok := errors.AsType[*RejectError](err); ok {
+		return e.Reason
+	}
+	return ""
+}
+
+// Err is the reply as an error of its class, or nil when its code is not known.
+func (r ErrorReply) Err() error {
+	switch r.Code {
+	case CodeFenced:
+		return Fenced.Wrap(&EpochError{Highest: r.Epoch})
+	case CodeRejected:
+		return Rejected.Wrap(&RejectError{Reason: r.Reason, Message: r.Message})
+	}
+	return nil
+}
