--- /dev/null
+++ b/ibisplace/bench_test.go
@@ -0,0 +1,329 @@
+package ibisplace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ibiscrank/ibisplace"
+	"ibiscrank/ibiswork"
+)
+
+// benchSeed is the seed of every benchmark; run i of -count uses benchSeed in each run again, the
+// packing benchmark uses its sub-benchmark's seed.
+const benchSeed = 20261203
+
+// placer is a way to place single tasks.
+type placer interface {
+	Place(a ibisplace.Ask) (string, bool)
+	Use(name string, delta ibiswork.Resources)
+}
+
+// plain is the baselines' state: a list of servers without an index.
+type plain struct {
+	rng    *rand.Rand
+	list   []*ibisplace.Server
+	byName map[string]*ibisplace.Server
+	choose func(p *plain, a ibisplace.Ask) *ibisplace.Server
+}
+
+func (p *plain) Place(a ibisplace.Ask) (string, bool) {
+	if s := p.choose(p, a); s != nil {
+		return s.Name, true
+	}
+	return "", false
+}
+
+func (p *plain) Use(name string, d ibiswork.Resources) {
+	p.byName[name].Used = p.byName[name].Used.Add(d)
+}
+
+func (p *plain) firstFrom(start int, a ibisplace.Ask) *ibisplace.Server {
+	for i := range p.list {
+		if s := p.list[(start+i)%len(p.list)]; a.Resources.FitsIn(s.Free()) {
+			return s
+		}
+	}
+	return nil
+}
+
+func firstFit(p *plain, a ibisplace.Ask) *ibisplace.Server { return p.firstFrom(0, a) }
+
+func randomFit(p *plain, a ibisplace.Ask) *ibisplace.Server {
+	return p.firstFrom(p.rng.IntN(len(p.list)), a)
+}
+
+func twoChoices(p *plain, a ibisplace.Ask) *ibisplace.Server {
+	x, y := randomFit(p, a), randomFit(p, a)
+	if x != nil && y.Load() < x.Load() {
+		return y
+	}
+	return x
+}
+
+func benchServers(n int) []ibisplace.Server {
+	list := make([]ibisplace.Server, n)
+	for i := range list {
+		c := res(16000, 64000, 0, 32)
+		if i%10 < 3 { // about 20,000 accelerators on 8,500 servers
+			c.Accelerators = 8
+		}
+		list[i] = ibisplace.Server{
+			Name:          fmt.Sprintf("w%05d", i),
+			FailureDomain: fmt.Sprintf("d%02d", i/8%14),
+			Rack:          fmt.Sprintf("r%04d", i/8),
+			Capacity:      c,
+		}
+	}
+	return list
+}
+
+func newPlacer(kind string, servers []ibisplace.Server, seed uint64) placer {
+	if kind == "index" {
+		var f ibisplace.Fleet
+		for _, s := range servers {
+			f.Put(s)
+		}
+		return &f
+	}
+	choose := map[string]func(*plain, ibisplace.Ask) *ibisplace.Server{
+		"first-fit": firstFit, "random": randomFit, "two-choices": twoChoices,
+	}[kind]
+	p := &plain{rng: rand.New(rand.NewPCG(seed, 2)), byName: map[string]*ibisplace.Server{}, choose: choose}
+	for _, s := range servers {
+		p.list = append(p.list, &s)
+		p.byName[s.Name] = &s
+	}
+	return p
+}
+
+// nextAsk draws a task of about a twentieth of a server: half interactive, a fifth services.
+func nextAsk(rng *rand.Rand) ibisplace.Ask {
+	a := ibisplace.Ask{Team: "t", Class: ibiswork.Interactive, Resources: res(100+rng.Int64N(700), 200+rng.Int64N(3000), 0, 1)}
+	switch p := rng.IntN(10); {
+	case p < 2:
+		a.Class = ibiswork.Service
+		a.Spread = spreads[rng.IntN(len(spreads))]
+	case p < 5:
+		a.Class = ibiswork.Batch
+		if rng.IntN(8) == 0 {
+			a.Resources.Accelerators = 1
+		}
+	}
+	return a
+}
+
+// spreads is what Ask.Spread holds for some services.
+var spreads = func() []map[string]int {
+	rng := rand.New(rand.NewPCG(benchSeed, 3))
+	list := make([]map[string]int, 16)
+	for i := range list {
+		list[i] = map[string]int{}
+		for d := range 14 {
+			list[i][fmt.Sprintf("d%02d", d)] = rng.IntN(4)
+		}
+	}
+	return list
+}()
+
+// churn keeps a number of tasks running: each step ends a random one and places another.
+type churn struct {
+	p       placer
+	rng     *rand.Rand
+	running []placed
+}
+
+type placed struct {
+	name string
+	r    ibiswork.Resources
+}
+
+func (c *churn) fill(n int) {
+	for len(c.running) < n {
+		a := nextAsk(c.rng)
+		name, ok := c.p.Place(a)
+		if !ok {
+			return
+		}
+		c.p.Use(name, a.Resources)
+		c.running = append(c.running, placed{name, a.Resources})
+	}
+}
+
+func (c *churn) endOne() {
+	i, last := c.rng.IntN(len(c.running)), len(c.running)-1
+	t := c.running[i]
+	c.running[i] = c.running[last]
+	c.running = c.running[:last]
+	c.p.Use(t.name, ibiswork.Resources{}.Sub(t.r))
+}
+
+func benchSizes() []struct{ servers, tasks int } {
+	return []struct{ servers, tasks int }{{50, 850}, {8500, 30000}, {8500, 150000}}
+}
+
+// BenchmarkPlace is the time of one decision with its change of use, in steady state.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range benchSizes() {
+		for _, kind := range []string{"index", "first-fit", "random", "two-choices"} {
+			b.Run(fmt.Sprintf("servers=%d/tasks=%d/%s", size.servers, size.tasks, kind), func(b *testing.B) {
+				c := &churn{p: newPlacer(kind, benchServers(size.servers), benchSeed), rng: rand.New(rand.NewPCG(benchSeed, 1))}
+				c.fill(size.tasks)
+				times := hdrhistogram.New(1, int64(time.Second), 3)
+				b.ReportAllocs()
+				refused := 0
+				for b.Loop() {
+					c.endOne()
+					a := nextAsk(c.rng)
+					start := time.Now()
+					name, ok := c.p.Place(a)
+					if ok {
+						c.p.Use(name, a.Resources)
+					}
+					_ = times.RecordValue(int64(time.Since(start)))
+					if !ok {
+						refused++
+						continue
+					}
+					c.running = append(c.running, placed{name, a.Resources})
+				}
+				b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-µs")
+				b.ReportMetric(float64(times.ValueAtQuantile(99.9))/1e3, "p99.9-µs")
+				b.ReportMetric(float64(len(c.running)), "running")
+				b.ReportMetric(100*float64(refused)/float64(b.N), "%refused")
+			})
+		}
+	}
+}
+
+// BenchmarkPlaceFull is the time of a decision on a full fleet, most of which find no room.
+func BenchmarkPlaceFull(b *testing.B) {
+	for _, servers := range []int{50, 8500} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			p := newPlacer("index", benchServers(servers), benchSeed)
+			c := &churn{p: p, rng: rand.New(rand.NewPCG(benchSeed, 1))}
+			for range 20 { // goes on after the first task that finds no room
+				c.fill(servers * 40)
+			}
+			times := hdrhistogram.New(1, int64(time.Second), 3)
+			refused := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				a := nextAsk(c.rng)
+				start := time.Now()
+				_, ok := p.Place(a)
+				_ = times.RecordValue(int64(time.Since(start)))
+				if !ok {
+					refused++
+				}
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-µs")
+			b.ReportMetric(100*float64(refused)/float64(b.N), "%refused")
+		})
+	}
+}
+
+// BenchmarkPlaceGang is the time of one decision on a gang in a fleet that is about two thirds full.
+func BenchmarkPlaceGang(b *testing.B) {
+	for _, size := range benchSizes() {
+		for _, tasks := range []int{16, 256} {
+			b.Run(fmt.Sprintf("servers=%d/tasks=%d/gang=%d", size.servers, size.tasks, tasks), func(b *testing.B) {
+				f := newPlacer("index", benchServers(size.servers), benchSeed).(*ibisplace.Fleet)
+				c := &churn{p: f, rng: rand.New(rand.NewPCG(benchSeed, 1))}
+				c.fill(size.tasks)
+				times := hdrhistogram.New(1, int64(time.Second), 3)
+				a := ibisplace.Ask{Class: ibiswork.Gang, Resources: res(500, 1000, 0, 1)}
+				refused := 0
+				for b.Loop() {
+					start := time.Now()
+					_, ok := f.PlaceGang(a, tasks)
+					_ = times.RecordValue(int64(time.Since(start)))
+					if !ok {
+						refused++
+					}
+				}
+				b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-µs")
+				b.ReportMetric(100*float64(refused)/float64(b.N), "%refused")
+			})
+		}
+	}
+}
+
+// BenchmarkPacking fills an empty fleet with batch tasks of several shapes until 100 in a row find no
+// room, after half of them were ended and others placed, and reports the parts of capacity in use.
+func BenchmarkPacking(b *testing.B) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		for _, kind := range []string{"index", "first-fit", "random", "two-choices"} {
+			b.Run(fmt.Sprintf("seed=%d/%s", seed, kind), func(b *testing.B) {
+				var p packing
+				for b.Loop() {
+					p = pack(kind, seed)
+				}
+				b.ReportMetric(100*p.full, "%dominant-full")
+				b.ReportMetric(float64(p.large), "large-tasks-fit")
+			})
+		}
+	}
+}
+
+type packing struct {
+	full  float64 // the larger of the parts of processors and memory in use when full
+	large int     // tasks of half a server that still fit at about 70 % load
+}
+
+// shapes is the shapes of batch tasks: balanced, heavy on processors, heavy on memory, small.
+var shapes = []ibiswork.Resources{res(4000, 16000, 0, 1), res(6000, 4000, 0, 1), res(1000, 20000, 0, 1), res(1000, 3000, 0, 1)}
+
+func pack(kind string, seed uint64) packing {
+	var p packing
+	servers := benchServers(200)
+	capacity := res(200*16000, 200*64000, 0, 0)
+	c := &churn{p: newPlacer(kind, servers, seed), rng: rand.New(rand.NewPCG(seed, 1))}
+	used := ibiswork.Resources{}
+	put := func() bool {
+		a := ibisplace.Ask{Class: ibiswork.Batch, Resources: shapes[c.rng.IntN(len(shapes))]}
+		name, ok := c.p.Place(a)
+		if ok {
+			c.p.Use(name, a.Resources)
+			c.running = append(c.running, placed{name, a.Resources})
+			used = used.Add(a.Resources)
+		}
+		return ok
+	}
+	end := func() {
+		before := c.running
+		i := c.rng.IntN(len(before))
+		t := before[i]
+		before[i] = before[len(before)-1]
+		c.running = before[:len(before)-1]
+		used = used.Sub(t.r)
+		c.p.Use(t.name, ibiswork.Resources{}.Sub(t.r))
+	}
+	for range 4000 { // churn at about 70 % load
+		if used.Dominant(capacity) < 0.7 {
+			put()
+		} else {
+			end()
+		}
+	}
+	large := ibisplace.Ask{Class: ibiswork.Batch, Resources: res(8000, 32000, 0, 1)}
+	var names []string
+	for name, ok := c.p.Place(large); ok; name, ok = c.p.Place(large) {
+		c.p.Use(name, large.Resources)
+		names = append(names, name)
+	}
+	p.large = len(names)
+	for _, name := range names {
+		c.p.Use(name, ibiswork.Resources{}.Sub(large.Resources))
+	}
+	for misses := 0; misses < 100; {
+		if !put() {
+			misses++
+		}
+	}
+	p.full = used.Dominant(capacity)
+	return p
+}
--- a/ibisplace/fleet.go
+++ b/ibisplace/fleet.go
@@ -59,6 +59,7 @@
 	capacity ibiswork.Resources         // of the open servers
 	used     ibiswork.Resources         // on the open servers
 	scratch  gangScratch
+	ask      Ask // of the decision under way
 }
 
 // node is a server with its place in the index.
--- a/ibisplace/gang.go
+++ b/ibisplace/gang.go
@@ -29,17 +29,51 @@
 	if r := tightest(rooms, &a, n); r != nil {
 		return fill(nil, r, &a, n), true
 	}
+	if !f.rankDomains(rooms, &a, n) {
+		return nil, false
+	}
+	names = make([]string, 0, n)
+	for _, r := range rooms {
+		if names = fill(names, r.rack, &a, n); len(names) == n {
+			break
+		}
+	}
+	return names, true
+}
+
+// rankDomains makes the room of each rack exact and orders racks so that the first ones that hold n
+// tasks are few: those of the failure domain that needs the fewest, else domains with the most room
+// first. It reports whether there is room for n at all.
+func (f *Fleet) rankDomains(rooms []rackRoom, a *Ask, n int) bool {
 	for i := range rooms {
-		rooms[i].room = rooms[i].rack.room(&a, n)
+		rooms[i].room = rooms[i].rack.room(a, n)
 	}
 	slices.SortStableFunc(rooms, func(x, y rackRoom) int { return y.room - x.room })
-	if d := roomiest(rooms, n); d != nil {
-		return fillFrom(rooms, d, &a, n), true
+	for _, d := range f.domains {
+		d.gangRoom, d.gangRacks = 0, 0
 	}
-	if total(rooms) < n {
-		return nil, false
+	sum := 0
+	for _, r := range rooms {
+		d := r.rack.domain
+		if d.gangRoom < n {
+			d.gangRacks++
+		}
+		d.gangRoom += r.room
+		sum += r.room
 	}
-	return fillFrom(rooms, nil, &a, n), true
+	slices.SortStableFunc(rooms, func(x, y rackRoom) int { return x.rack.domain.compare(y.rack.domain, n) })
+	return sum >= n
+}
+
+// compare orders failure domains for a gang of n tasks.
+func (d *domain) compare(o *domain, n int) int {
+	switch whole, other := d.gangRoom >= n, o.gangRoom >= n; {
+	case whole && other && d.gangRacks != o.gangRacks:
+		return d.gangRacks - o.gangRacks
+	case whole != other || d.gangRoom != o.gangRoom:
+		return o.gangRoom - d.gangRoom
+	}
+	return compareNames(d.name, o.name)
 }
 
 // rackRooms is the racks that may hold at least one task, with an upper bound of their room.
@@ -69,41 +103,6 @@
 	return best
 }
 
-// roomiest is the failure domain that holds n tasks in the fewest racks. Racks come with the most room
-// first.
-func roomiest(rooms []rackRoom, n int) *domain {
-	sums := make(map[*domain]int)
-	for _, r := range rooms {
-		sums[r.rack.domain] += r.room
-		if sums[r.rack.domain] >= n {
-			return r.rack.domain
-		}
-	}
-	return nil
-}
-
-func total(rooms []rackRoom) int {
-	sum := 0
-	for _, r := range rooms {
-		sum += r.room
-	}
-	return sum
-}
-
-// fillFrom takes n servers from racks in order, of one failure domain unless d is nil.
-func fillFrom(rooms []rackRoom, d *domain, a *Ask, n int) []string {
-	names := make([]string, 0, n)
-	for _, r := range rooms {
-		if d != nil && r.rack.domain != d {
-			continue
-		}
-		if names = fill(names, r.rack, a, n); len(names) == n {
-			break
-		}
-	}
-	return names
-}
-
 // fill takes servers of one rack until there are n names, those with the most room first.
 func fill(names []string, r *rack, a *Ask, n int) []string {
 	type serverRoom struct {
--- a/ibisplace/index.go
+++ b/ibisplace/index.go
@@ -13,6 +13,9 @@
 	members int // servers, closed ones too
 	racks   map[string]*rack
 	buckets [bucketCount]bucket // the emptiest servers first
+
+	gangRoom  int // tasks that fit, while a gang is decided
+	gangRacks int // racks that hold all of its tasks, or all racks with room
 }
 
 // bucket is a set of servers with a similar load.
--- a/ibisplace/place.go
+++ b/ibisplace/place.go
@@ -18,7 +18,9 @@
 
 // Place chooses a server for one task; it does not change what is in use.
 func (f *Fleet) Place(a Ask) (name string, ok bool) {
-	s := search{ask: &a, policy: f.policy(a.Class), score: math.Inf(-1)}
+	f.ask = a // scorers see the copy in f, so that no decision allocates
+	defer func() { f.ask = Ask{} }()
+	s := search{ask: &f.ask, policy: f.policy(a.Class), score: math.Inf(-1)}
 	if s.policy.Spread {
 		f.placeSpread(&s)
 	} else {
