Serve callers over HTTP: submit, ask, cancel, health and drain

Cause: callers need one bounded, authenticated interface whose answers are matched by request ID and whose refusals are true. Change: package ibisgate. NotRun is cleared on refusals of questions (GET, DELETE) and of IDs outside the duplicate window, since the gate cannot know of an earlier submission. Acceptance of durable work outlives its caller by a grace time.

--- /dev/null
+++ b/ibisgate/drain_test.go
@@ -0,0 +1,160 @@
+package ibisgate
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiswork"
+)
+
+func TestDrain(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	g, srv := newServer(t, &fakeScheduler{submit: func(_ context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
+		close(arrived)
+		<-release
+		return echo(r), nil
+	}}, newDaemon())
+	first := make(chan *http.Response)
+	go func() {
+		resp, b := ask(t, http.MethodPost, srv.URL+"/v1/requests", testKey, `{"Class":"Interactive","Payload":"aGVsbG8="}`)
+		assert.Check(t, bytes.Contains(b, []byte(`"Result":"aGVsbG8="`)), "%s", b)
+		first <- resp
+	}()
+	<-arrived
+	assert.Equal(t, g.InFlight(), int64(1))
+
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorContains(t, g.Drain(over), "1 requests still in progress")
+
+	resp, b := ask(t, http.MethodPost, srv.URL+"/v1/requests", testKey, `{"Class":"Batch"}`)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, problem(t, b).Code, ibiswork.CodeDraining)
+	assert.Assert(t, problem(t, b).NotRun && problem(t, b).RetryAfterMS > 0)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+	assert.Assert(t, resp.Close)
+	resp, _ = ask(t, http.MethodGet, srv.URL+"/v1/ready", "", "")
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	resp, _ = ask(t, http.MethodGet, srv.URL+"/v1/health", "", "")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+
+	drained := make(chan error)
+	go func() { drained <- g.Drain(t.Context()) }()
+	close(release)
+	resp = <-first
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+	assert.NilError(t, <-drained)
+	assert.Equal(t, g.InFlight(), int64(0))
+}
+
+func TestOverloaded(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	_, srv := newServer(t, &fakeScheduler{submit: func(_ context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
+		close(arrived)
+		<-release
+		return echo(r), nil
+	}}, newDaemon(), WithMaxInFlight(1))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ask(t, http.MethodPost, srv.URL+"/v1/requests", testKey, `{"Class":"Batch"}`)
+	}()
+	<-arrived
+	_, b := ask(t, http.MethodPost, srv.URL+"/v1/requests", testKey, `{"Class":"Batch"}`)
+	assert.Equal(t, problem(t, b).Code, ibiswork.CodeOverloaded)
+	assert.Assert(t, problem(t, b).NotRun)
+	close(release)
+	<-done
+}
+
+// TestCallerGoesAway checks that the acceptance of durable work is not cut short by its caller's going
+// away, while an idempotent interactive request is given up at once.
+func TestCallerGoesAway(t *testing.T) {
+	for _, tc := range []struct {
+		name, body string
+		goesOn     bool
+	}{
+		{"Durable", `{"Class":"Batch"}`, true},
+		{"NotIdempotent", `{"Class":"Interactive"}`, true},
+		{"Idempotent", `{"Class":"Interactive","Idempotent":true}`, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			arrived, gone, ended := make(chan struct{}), make(chan struct{}), make(chan bool)
+			g := New(&fakeScheduler{submit: func(ctx context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
+				close(arrived)
+				<-gone
+				ended <- ctx.Err() == nil
+				return echo(r), nil
+			}}, newDaemon(), newDaemon())
+			router := mux.NewRouter()
+			g.Register(router)
+			ctx, cancel := context.WithCancel(t.Context())
+			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/requests", bytes.NewBufferString(tc.body))
+			r.Header.Set("Authorization", "bearer "+testKey)
+			go router.ServeHTTP(httptest.NewRecorder(), r)
+			<-arrived
+			cancel()
+			close(gone)
+			assert.Equal(t, <-ended, tc.goesOn)
+			assert.NilError(t, g.Drain(t.Context()))
+		})
+	}
+}
+
+func TestCutOff(t *testing.T) {
+	d := newDaemon()
+	d.refuse = ibiswork.Refuse(ibiswork.CodeCutOff, "no news")
+	_, srv := newServer(t, &fakeScheduler{}, d)
+	resp, b := ask(t, http.MethodPost, srv.URL+"/v1/requests", testKey, `{"Class":"Batch"}`)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, problem(t, b).Code, ibiswork.CodeCutOff)
+	resp, _ = ask(t, http.MethodGet, srv.URL+"/v1/ready", "", "")
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	resp, _ = ask(t, http.MethodPost, srv.URL+"/v1/requests", "", `{"Class":"Batch","Queue":"quotes"}`)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+func TestAgeOfIDs(t *testing.T) {
+	id := ibiswork.ID(uuid.Must(uuid.NewV7()).String())
+	for _, tc := range []struct {
+		name string
+		now  time.Duration // after the ID's time
+		ok   bool
+	}{
+		{"Fresh", 0, true},
+		{"AtTheEndOfTheWindow", time.Minute, true},
+		{"PastTheWindow", time.Minute + time.Millisecond, false},
+		{"MinuteAhead", -time.Minute, true},
+		{"MoreThanAMinuteAhead", -time.Minute - time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := New(nil, nil, nil, WithDuplicateWindow(time.Minute), WithClock(func() time.Time { return id.Time().Add(tc.now) }))
+			assert.Equal(t, g.checkAge(id) == nil, tc.ok)
+		})
+	}
+}
+
+func TestEveryCodeHasAStatus(t *testing.T) {
+	assert.Equal(t, len(codeRules), len(allCodes))
+	for _, c := range allCodes {
+		rule, ok := codeRules[c]
+		assert.Assert(t, ok, "%s", c)
+		assert.Assert(t, rule.Status >= 400 && rule.Status < 600, "%s", c)
+	}
+}
+
+var allCodes = []ibiswork.Code{
+	ibiswork.CodeBadRequest, ibiswork.CodeTooLarge, ibiswork.CodeUnauthorized, ibiswork.CodeForbidden, ibiswork.CodeNotFound,
+	ibiswork.CodeExpiredID, ibiswork.CodeConflict, ibiswork.CodeStale, ibiswork.CodeNeverFits, ibiswork.CodeOverLimit,
+	ibiswork.CodeOverloaded, ibiswork.CodeDeadline, ibiswork.CodeDraining, ibiswork.CodeCutOff, ibiswork.CodeStoreUnavailable,
+	ibiswork.CodeRecovering, ibiswork.CodeUnreachable, ibiswork.CodeOutcomeUnknown, ibiswork.CodeInternal,
+}
--- /dev/null
+++ b/ibisgate/request.go
@@ -0,0 +1,129 @@
+package ibisgate
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"ibiscrank/ibiswork"
+)
+
+const bearer = "Bearer "
+
+// wire is a request as callers send it; it drops the methods of Request, so that a request without an
+// ID can be decoded and checked later.
+type wire ibiswork.Request
+
+// readBody reads a bounded body whole.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBodyBytes))
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, ibiswork.Refuse(ibiswork.CodeTooLarge, "the body is longer than %d bytes", g.maxBodyBytes)
+	}
+	if err != nil {
+		return nil, ibiswork.Refuse(ibiswork.CodeBadRequest, "the body could not be read: %v", err)
+	}
+	return b, nil
+}
+
+// decodeRequest decodes one request without checking it; unknown fields and further values are errors.
+func decodeRequest(b []byte) (ibiswork.Request, error) {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	var req wire
+	if err := dec.Decode(&req); err != nil {
+		return ibiswork.Request{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "the body is not a request: %v", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return ibiswork.Request{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "the body has more than one JSON value")
+	}
+	return ibiswork.Request(req), nil
+}
+
+// complete puts in the team and, when it is absent, the ID, and checks the request.
+func (g *Gate) complete(req ibiswork.Request, team string) (ibiswork.Request, error) {
+	if req.ID == "" {
+		req.ID = ibiswork.NewID()
+	} else if err := g.checkAge(req.ID); err != nil {
+		return req, err
+	}
+	if req.Team != "" && req.Team != team {
+		return req, ibiswork.Refuse(ibiswork.CodeForbidden, "Team: the key does not belong to the team %q", req.Team)
+	}
+	req.Team = team
+	if err := req.Check(); err != nil {
+		return req, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
+	}
+	return req, nil
+}
+
+// checkAge refuses an ID whose duplicates may be forgotten already. It cannot promise that the request
+// was never run, because an earlier submission of the same ID may have been accepted.
+func (g *Gate) checkAge(id ibiswork.ID) error {
+	if err := id.Check(); err != nil {
+		return ibiswork.Refuse(ibiswork.CodeBadRequest, "ID: %v", err)
+	}
+	age := g.now().Sub(id.Time())
+	if age > g.duplicateWindow {
+		return ibiswork.Refuse(ibiswork.CodeExpiredID, "the ID is older than %v", g.duplicateWindow).WithMaybeRun()
+	}
+	if age < -maxClockAhead {
+		return ibiswork.Refuse(ibiswork.CodeExpiredID, "the time in the ID is more than %v in the future", maxClockAhead).WithMaybeRun()
+	}
+	return nil
+}
+
+// keyOf is the key that a caller presents, or empty.
+func keyOf(r *http.Request) (string, error) {
+	h := r.Header.Get("Authorization")
+	if h == "" {
+		return "", nil
+	}
+	if len(h) <= len(bearer) || !strings.EqualFold(h[:len(bearer)], bearer) {
+		return "", ibiswork.Refuse(ibiswork.CodeUnauthorized, "Authorization is not of the form Bearer KEY")
+	}
+	return strings.TrimSpace(h[len(bearer):]), nil
+}
+
+// waitOf is the waiting that a caller asks for: WaitMS in milliseconds or Wait as a duration in the
+// query, or wait=SECONDS in the header Prefer.
+func waitOf(r *http.Request) (wait time.Duration, given bool, err error) {
+	q, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return 0, false, ibiswork.Refuse(ibiswork.CodeBadRequest, "the query is not valid: %v", err)
+	}
+	switch {
+	case q.Has("WaitMS"):
+		wait, err = number("WaitMS", q.Get("WaitMS"), time.Millisecond)
+		return wait, true, err
+	case q.Has("Wait"):
+		wait, err = time.ParseDuration(q.Get("Wait"))
+		if err != nil || wait < 0 {
+			return 0, true, ibiswork.Refuse(ibiswork.CodeBadRequest, "Wait: %q is not a duration such as 1500ms", q.Get("Wait"))
+		}
+		return wait, true, nil
+	}
+	for _, p := range strings.Split(strings.Join(r.Header.Values("Prefer"), ","), ",") {
+		if name, value, ok := strings.Cut(strings.TrimSpace(p), "="); ok && strings.EqualFold(name, "wait") {
+			wait, err = number("Prefer: wait", value, time.Second)
+			return wait, true, err
+		}
+	}
+	return 0, false, nil
+}
+
+// number reads a whole number of units from zero to a day.
+func number(name, s string, unit time.Duration) (time.Duration, error) {
+	const most = 24 * time.Hour
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 || n > int64(most/unit) {
+		return 0, ibiswork.Refuse(ibiswork.CodeBadRequest, "%s: %q is not a whole number from 0 to %d", name, s, int64(most/unit))
+	}
+	return time.Duration(n) * unit, nil
+}
--- /dev/null
+++ b/ibisgate/routes.go
@@ -0,0 +1,202 @@
+package ibisgate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"ibiscrank/ibiswork"
+)
+
+// submit serves POST /v1/requests.
+func (g *Gate) submit(w http.ResponseWriter, r *http.Request) reply {
+	team, keyed, err := g.authenticate(r)
+	if err != nil {
+		return refuse(err, "")
+	}
+	wait, waitGiven, err := waitOf(r)
+	if err != nil {
+		return refuse(err, "")
+	}
+	b, err := g.readBody(w, r)
+	if err != nil {
+		return refuse(err, "")
+	}
+	req, err := decodeRequest(b)
+	if err != nil {
+		return refuse(err, "")
+	}
+	if err := g.checkQueue(req, keyed); err != nil {
+		return refuse(err, req.ID)
+	}
+	req, err = g.complete(req, team)
+	if err != nil {
+		return refuse(err, req.ID)
+	}
+	if !waitGiven {
+		wait = g.defaultWait(req)
+	}
+	return g.pass(r, req, min(wait, g.maxWait))
+}
+
+// pass hands a checked request to the scheduler and waits for what comes of it.
+func (g *Gate) pass(r *http.Request, req ibiswork.Request, wait time.Duration) reply {
+	parent := r.Context()
+	if req.Durable() {
+		var release func()
+		parent, release = outlive(parent, answerGrace)
+		defer release()
+	}
+	ctx, cancel := context.WithTimeout(parent, wait+answerGrace)
+	defer cancel()
+	st, err := g.scheduler.Submit(ctx, req, wait)
+	if err != nil {
+		return refuse(unknownOnTimeout(err), req.ID)
+	}
+	if st.ID != req.ID {
+		return refuse(mismatch(st.ID), req.ID)
+	}
+	return progress(st)
+}
+
+// status serves GET /v1/requests/{id}.
+func (g *Gate) status(_ http.ResponseWriter, r *http.Request) reply {
+	team, id, err := g.question(r)
+	if err != nil {
+		return refuse(err, id)
+	}
+	wait, _, err := waitOf(r)
+	if err != nil {
+		return refuse(err, id)
+	}
+	wait = min(wait, MaxPollWait)
+	ctx, cancel := context.WithTimeout(r.Context(), wait+answerGrace)
+	defer cancel()
+	st, err := g.scheduler.Status(ctx, team, id, wait)
+	if err != nil {
+		return refuse(unknownOnTimeout(err), id)
+	}
+	if st.ID != id {
+		return refuse(mismatch(st.ID), id)
+	}
+	return reply{status: http.StatusOK, body: st, label: string(st.Stage)}
+}
+
+// cancel serves DELETE /v1/requests/{id}. It is carried through when the caller goes away.
+func (g *Gate) cancel(_ http.ResponseWriter, r *http.Request) reply {
+	team, id, err := g.question(r)
+	if err != nil {
+		return refuse(err, id)
+	}
+	ctx, release := outlive(r.Context(), answerGrace)
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, answerGrace)
+	defer cancel()
+	st, err := g.scheduler.Cancel(ctx, team, id)
+	if err != nil {
+		return refuse(unknownOnTimeout(err), id)
+	}
+	if st.ID != id {
+		return refuse(mismatch(st.ID), id)
+	}
+	return progress(st)
+}
+
+// authenticate finds the team of the caller's key; without a key the team is empty.
+func (g *Gate) authenticate(r *http.Request) (team string, keyed bool, err error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return "", false, err
+	}
+	keyed = key != ""
+	if err := g.admission.Accept(keyed); err != nil {
+		return "", keyed, err
+	}
+	snap := g.config.Snapshot()
+	if snap == nil {
+		return "", keyed, ibiswork.Refuse(ibiswork.CodeRecovering, "this daemon has no configuration yet")
+	}
+	if !keyed {
+		return "", false, nil
+	}
+	team, ok := snap.Authenticate(key)
+	if !ok {
+		return "", true, ibiswork.Refuse(ibiswork.CodeUnauthorized, "the key is not in force")
+	}
+	return team, true, nil
+}
+
+// checkQueue refuses work that names no open queue and came without a key, or has both.
+func (g *Gate) checkQueue(req ibiswork.Request, keyed bool) error {
+	if keyed {
+		if req.Queue != "" {
+			return ibiswork.Refuse(ibiswork.CodeBadRequest, "Queue: an open queue takes work without a key only")
+		}
+		return nil
+	}
+	if req.Queue == "" {
+		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "there is neither a key nor an open queue")
+	}
+	if !g.config.Snapshot().Teams[req.Queue].Queue {
+		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "Queue: %q is not an open queue", req.Queue)
+	}
+	return nil
+}
+
+// question authenticates a request about earlier work and reads the ID from its path.
+func (g *Gate) question(r *http.Request) (team string, id ibiswork.ID, err error) {
+	id = ibiswork.ID(mux.Vars(r)["id"])
+	if err := id.Check(); err != nil {
+		return "", "", ibiswork.Refuse(ibiswork.CodeBadRequest, "ID: %v", err)
+	}
+	team, _, err = g.authenticate(r)
+	return team, id, err
+}
+
+// defaultWait is how long a submission waits when its caller does not say.
+func (g *Gate) defaultWait(req ibiswork.Request) time.Duration {
+	if req.Class != ibiswork.Interactive {
+		return 0
+	}
+	if req.DeadlineMS == 0 {
+		return g.maxWait
+	}
+	return time.Duration(req.DeadlineMS) * time.Millisecond
+}
+
+// progress answers 200 with the end of a request, or 202 and where to ask for it.
+func progress(st ibiswork.Status) reply {
+	a := reply{status: http.StatusOK, body: st, label: string(st.Stage)}
+	if st.Stage != ibiswork.Ended {
+		a.status = http.StatusAccepted
+		a.location = "/v1/requests/" + string(st.ID)
+	}
+	return a
+}
+
+// outlive is parent's context that ends only grace after parent has ended.
+func outlive(parent context.Context, grace time.Duration) (ctx context.Context, release func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() { time.AfterFunc(grace, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// unknownOnTimeout turns the end of a context into a refusal that promises nothing.
+func unknownOnTimeout(err error) error {
+	_, refused := errors.AsType[*ibiswork.Refusal](err)
+	if !refused && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)) {
+		return &ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown, Message: "no word of the request in time"}
+	}
+	return err
+}
+
+// mismatch refuses to hand the answer of one request to the caller of another.
+func mismatch(got ibiswork.ID) error {
+	return Error.New("the answer is that of request %q", string(got))
+}
