--- /dev/null
+++ b/ibislease/clock_test.go
@@ -0,0 +1,113 @@
+package ibislease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// server is a backend server's clock with an offset and a rate that is off by ppm.
+type server struct {
+	base   time.Time
+	offset int64
+	ppm    int64
+}
+
+func (s server) now(t time.Time) int64 {
+	d := t.Sub(s.base)
+	return s.offset + int64(d+d/million*time.Duration(s.ppm))/int64(time.Millisecond)
+}
+
+func drawServer(t *rapid.T) server {
+	return server{
+		base:   time.Now(),
+		offset: rapid.Int64Range(1, 1<<50).Draw(t, "offset"),
+		ppm:    rapid.Int64Range(-DefaultDriftPPM+1, DefaultDriftPPM-1).Draw(t, "ppm"),
+	}
+}
+
+func drawReading(t *rapid.T, s server, at time.Time) Reading {
+	before := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "before"))
+	after := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "after"))
+	return Reading{Value: s.now(at.Add(before)), Sent: at, Received: at.Add(before + after)}
+}
+
+func TestClockBoundsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawServer(t)
+		var c Clock
+		at := s.base
+		for range rapid.IntRange(1, 20).Draw(t, "readings") {
+			r := drawReading(t, s, at)
+			var ok bool
+			c, ok = c.With(r)
+			assert.Assert(t, ok, "no contradiction within the drift bound")
+			for _, d := range []time.Duration{-time.Minute, 0, time.Second, time.Hour, 24 * time.Hour} {
+				x := r.Received.Add(d)
+				if x.Before(s.base) {
+					continue
+				}
+				assert.Assert(t, c.Earliest(x) <= s.now(x), "%d > %d after %v", c.Earliest(x), s.now(x), d)
+				assert.Assert(t, c.Latest(x) >= s.now(x), "%d < %d after %v", c.Latest(x), s.now(x), d)
+			}
+			at = r.Received.Add(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "pause")))
+		}
+	})
+}
+
+func TestHorizonPassesOnlyAfterEveryLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawServer(t)
+		var c Clock
+		var h Horizon
+		var ends []int64
+		at := s.base
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			lease := time.Duration(rapid.Int64Range(1, 60_000).Draw(t, "lease")) * time.Millisecond
+			r := drawReading(t, s, at)
+			end := RenewalEnd(r.Value, lease)
+			if rapid.Bool().Draw(t, "own") {
+				c, _ = c.With(r)
+				h = h.With(end)
+			} else {
+				h = h.WithOwner(r.Received, lease, 0)
+			}
+			ends = append(ends, end)
+			at = r.Received.Add(time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "pause")))
+			for range 20 {
+				x := r.Received.Add(time.Duration(rapid.Int64Range(0, int64(2*time.Minute)).Draw(t, "later")))
+				if !h.Passed(c, x) {
+					continue
+				}
+				for _, e := range ends {
+					assert.Assert(t, s.now(x) > e, "passed at %d, a lease ends at %d", s.now(x), e)
+				}
+			}
+			assert.Assert(t, h.Passed(c, r.Received.Add(5*time.Minute)), "passes at last without a reading")
+		}
+	})
+}
+
+func TestClockAfterRestartOfServer(t *testing.T) {
+	base := time.Now()
+	c, ok := Clock{}.With(Reading{Value: 1_000_000, Sent: base, Received: base.Add(time.Millisecond)})
+	assert.Assert(t, ok)
+	later := base.Add(time.Minute)
+	for _, value := range []int64{5, 9_000_000} {
+		n, ok := c.With(Reading{Value: value, Sent: later, Received: later})
+		assert.Assert(t, !ok)
+		assert.Equal(t, n.Earliest(later), value)
+		assert.Equal(t, n.Latest(later), value+1)
+	}
+}
+
+func TestRenewalEndIgnoresDelay(t *testing.T) {
+	assert.Equal(t, RenewalEnd(7000, 10*time.Second), int64(17000))
+	h := Horizon{}.With(17000).With(9000)
+	assert.Assert(t, !h.PassedAt(17000))
+	assert.Assert(t, h.PassedAt(17001))
+	assert.Assert(t, !h.Passed(Clock{}, time.Now()), "never without a reading")
+	assert.Assert(t, Horizon{}.Passed(Clock{}, time.Now()))
+}
