--- /dev/null
+++ b/ibisdaemon/daemon.go
@@ -0,0 +1,280 @@
+// Package ibisdaemon wires the daemon that runs on every entry VM from its parts.
+//
+// Usage:
+//
+//	settings, err := ibissettings.Load("daemon.json")
+//	err = ibisdaemon.Run(ctx, settings)
+package ibisdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+
+	"ibiscrank/ibisallot"
+	"ibiscrank/ibisburn"
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisholder"
+	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibisjournal"
+	"ibiscrank/ibisowner"
+	"ibiscrank/ibispeer"
+	"ibiscrank/ibisroute"
+	"ibiscrank/ibisrpc"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibissettings"
+	"ibiscrank/ibistable"
+	"ibiscrank/ibiswork"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("daemon")
+
+// Times of the daemon.
+const (
+	registerRetry = 500 * time.Millisecond
+	storeTimeout  = 3 * time.Second
+	startTimeout  = 24 * time.Hour // a daemon waits for the store as long as it takes
+	stopMargin    = 10 * time.Second
+)
+
+// Run runs the daemon until ctx ends, then drains it. When its incarnation is revoked, because the others
+// took it for dead, it begins again as a new one.
+func Run(ctx context.Context, s ibissettings.Settings) error {
+	for ctx.Err() == nil {
+		revoked := make(chan struct{}, 1)
+		if err := runOnce(ctx, s, revoked); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runOnce runs one incarnation.
+func runOnce(ctx context.Context, s ibissettings.Settings, revoked chan struct{}) error {
+	life := newLifecycle()
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(time.Duration(s.DrainMS)*time.Millisecond+stopMargin),
+		fx.Supply(s, life, revokedChan(revoked)),
+		fx.Provide(
+			metrics.NewRegistry, newTable, newVMList, newPool, newIncarnation, newConfig, newJournal, newLedger,
+			newBurn, newDaemonCount, newNode, newFrontend,
+		),
+		fx.Invoke(func(*frontend) {}),
+	)
+	if err := app.Err(); err != nil {
+		return Error.Wrap(err)
+	}
+	startCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return Error.Wrap(err)
+	}
+	select {
+	case <-ctx.Done():
+	case <-revoked:
+		life.fire("Revoke")
+	}
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	return Error.Wrap(app.Stop(stopCtx))
+}
+
+// revokedChan is told when the incarnation has been revoked.
+type revokedChan chan struct{}
+
+// onStop registers the clean-up of a constructor.
+func onStop(lc fx.Lifecycle, clean func()) {
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { clean(); return nil }})
+}
+
+func newTable(s ibissettings.Settings) ibistable.Table { return ibistable.NewClient(s.Table, nil) }
+
+func newVMList(lc fx.Lifecycle, s ibissettings.Settings) ibisserver.VMList {
+	c, stop := ibisserver.NewVMClient(s.VMList)
+	onStop(lc, stop)
+	return c
+}
+
+func newPool(lc fx.Lifecycle) *ibisrpc.Pool {
+	p, stop := ibisrpc.NewPool()
+	onStop(lc, stop)
+	return p
+}
+
+// newIncarnation registers this start of the daemon, waiting for the store while it is away.
+func newIncarnation(s ibissettings.Settings, life *lifecycle, t ibistable.Table, revoked revokedChan) (*ibisincarnation.Incarnation, error) {
+	row := ibisincarnation.Row{
+		ID: uuid.Must(uuid.NewV7()).String(), Address: s.Advertise, HTTPAddress: s.AdvertiseHTTP,
+		FailureDomain: s.FailureDomain, Region: s.Region, StartedAt: time.Now(), State: ibisincarnation.Live,
+	}
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		inc, err := ibisincarnation.Register(ctx, t, row)
+		cancel()
+		if err == nil {
+			log.WithFields(log.Fields{"incarnation": row.ID, "address": row.Address}).Info("IncarnationRegistered")
+			life.fire("Register")
+			return inc, nil
+		}
+		log.WithField("error", err).Warn("IncarnationNotRegistered")
+		time.Sleep(registerRetry)
+	}
+}
+
+func newConfig(s ibissettings.Settings, t ibistable.Table) *ibisconfig.Store {
+	return ibisconfig.NewStore(t).WithBootstrap(ibisconfig.KeyHash(s.OperatorKeyHash))
+}
+
+func newJournal(lc fx.Lifecycle, s ibissettings.Settings, t ibistable.Table, inc *ibisincarnation.Incarnation, n *daemonCount) *ibisjournal.Journal {
+	interval := func() time.Duration {
+		least := time.Duration(s.CommitMS) * time.Millisecond
+		return max(least, time.Duration(n.get())*time.Second/time.Duration(s.StoreWritesPerSecond))
+	}
+	j, stop := ibisjournal.Open(t, inc.Fence(), inc.ID(), ibisjournal.WithInterval(interval))
+	onStop(lc, stop)
+	return j
+}
+
+func newLedger(t ibistable.Table, inc *ibisincarnation.Incarnation) *ibisallot.Ledger {
+	return ibisallot.NewLedger(t, inc.Fence(), inc.ID())
+}
+
+func newBurn() *ibisburn.Recorder { return new(ibisburn.Recorder) }
+
+// node is the daemon without its listeners.
+type node struct {
+	settings ibissettings.Settings
+	life     *lifecycle
+	table    ibistable.Table
+	vmlist   ibisserver.VMList
+	pool     *ibisrpc.Pool
+	inc      *ibisincarnation.Incarnation
+	config   *ibisconfig.Store
+	journal  *ibisjournal.Journal
+	ledger   *ibisallot.Ledger
+	burn     *ibisburn.Recorder
+	registry metrics.Registry
+	peers    *ibispeer.Peers
+	owner    *ibisowner.Owner
+	holder   *ibisholder.Holder
+	router   *ibisroute.Router
+	news     *newsTimes
+	vms      *vmTracker
+	kick     chan struct{}
+}
+
+// parts is what newNode takes.
+type parts struct {
+	fx.In
+	Settings ibissettings.Settings
+	Life     *lifecycle
+	Table    ibistable.Table
+	VMList   ibisserver.VMList
+	Pool     *ibisrpc.Pool
+	Inc      *ibisincarnation.Incarnation
+	Config   *ibisconfig.Store
+	Journal  *ibisjournal.Journal
+	Ledger   *ibisallot.Ledger
+	Burn     *ibisburn.Recorder
+	Registry metrics.Registry
+	Revoked  revokedChan
+	Count    *daemonCount
+}
+
+func newNode(lc fx.Lifecycle, p parts) *node {
+	n := &node{
+		settings: p.Settings, life: p.Life, table: p.Table, vmlist: p.VMList, pool: p.Pool, inc: p.Inc, config: p.Config,
+		journal: p.Journal, ledger: p.Ledger, burn: p.Burn, registry: p.Registry,
+		news: new(newsTimes), vms: new(vmTracker), kick: make(chan struct{}, 1),
+	}
+	n.startHolder(lc)
+	n.startOwner(lc)
+	n.startPeers(lc, p.Revoked)
+	p.Count.peers.Store(n.peers)
+	n.router = ibisroute.New(ibisroute.Config{Self: n.inc.ID(), Shards: n.settings.Shards, Local: n.holder, Pool: n.pool, View: n.view})
+	n.startLoops(lc)
+	return n
+}
+
+// view is the daemons as this one knows them; before the heartbeats have begun it is alone.
+func (n *node) view() *ibispeer.View {
+	if n.peers == nil {
+		return &ibispeer.View{Self: n.inc.ID(), Revoked: map[string]bool{}}
+	}
+	return n.peers.View()
+}
+
+func (n *node) hasNews(now time.Time) bool { return n.peers != nil && n.peers.HasNews(now) }
+
+func (n *node) startHolder(lc fx.Lifecycle) {
+	h, stop := ibisholder.New(ibisholder.Config{
+		Self: n.inc.ID(), Shards: n.settings.Shards, Table: n.table, Fence: n.inc.Fence(), Journal: n.journal, Pool: n.pool,
+		View: n.view, Snapshot: n.config.Snapshot, VMs: n.vms.list,
+		DuplicateWindow: time.Duration(n.settings.DuplicateWindowMS) * time.Millisecond, MaxQueued: n.settings.MaxQueued,
+		Metrics: n.registry, Ended: n.ended, ShardTaken: n.shardTaken,
+	})
+	n.holder = h
+	onStop(lc, stop)
+}
+
+func (n *node) startOwner(lc fx.Lifecycle) {
+	o, stop := ibisowner.New(ibisowner.Config{
+		Self: n.inc.ID(), Lease: time.Duration(n.settings.LeaseMS) * time.Millisecond, Shards: n.settings.Shards,
+		Dial: func(addr string) (ibisserver.Server, func()) { return ibisserver.NewClient(addr) },
+		Pool: n.pool, Ledger: wakingLedger{n.ledger, n.kick}, Directory: n.holder, Snapshot: n.config.Snapshot,
+		HasNews: n.hasNews, Metrics: n.registry,
+	})
+	n.owner = o
+	onStop(lc, stop)
+}
+
+func (n *node) startPeers(lc fx.Lifecycle, revoked revokedChan) {
+	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+	row := ibisincarnation.Row{
+		ID: n.inc.ID(), Address: n.settings.Advertise, HTTPAddress: n.settings.AdvertiseHTTP,
+		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, State: ibisincarnation.Live,
+	}
+	p, stop := ibispeer.Start(ibispeer.Config{
+		Self: row, Table: n.table, Fence: n.inc.Fence(), Pool: n.pool, Seeds: n.settings.Peers,
+		Heartbeat: ms(n.settings.HeartbeatMS), RevokeAfter: ms(n.settings.RevokeAfterMS), CutOff: ms(n.settings.CutOffMS),
+	}, ibispeer.Hooks{
+		State: n.life.State, Load: n.owner.Load, Config: func() int64 { return n.config.Snapshot().Version },
+		Denied: n.config.Denied, Learned: n.learned, Changed: n.changed, StoreNews: n.news.configAt,
+		Revoked: func() {
+			select {
+			case revoked <- struct{}{}:
+			default:
+			}
+		},
+	})
+	n.peers = p
+	onStop(lc, stop)
+}
+
+// ended records a request's end for the report on service-level burn.
+func (n *node) ended(r ibiswork.Request, waited time.Duration, ok bool) {
+	if team, known := n.config.Snapshot().Teams[r.Team]; known {
+		n.burn.Observe(time.Now(), team, r.Class, waited, ok)
+	}
+}
+
+// shardTaken tells the owner of the newest epoch of a shard.
+func (n *node) shardTaken(shard int, epoch int64) {
+	if n.owner == nil {
+		return
+	}
+	if err := n.owner.RaiseEpoch(context.Background(), shard, epoch); err != nil {
+		log.WithField("error", err).Debug("EpochNotRaised")
+	}
+}
--- /dev/null
+++ b/ibisdaemon/frontend.go
@@ -0,0 +1,174 @@
+package ibisdaemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"ibiscrank/ibischart"
+	"ibiscrank/ibisgate"
+	"ibiscrank/ibisrpc"
+	"ibiscrank/ibiswire"
+)
+
+// Times of the shutdown.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	handOverPoll      = 50 * time.Millisecond
+	revokedDrain      = 8 * time.Second
+	closeTimeout      = 2 * time.Second
+)
+
+// frontend is the daemon's listeners.
+type frontend struct {
+	node  *node
+	gate  *ibisgate.Gate
+	http  *http.Server
+	rpc   *grpc.Server
+	drain ibischart.Machine
+}
+
+func newFrontend(lc fx.Lifecycle, n *node) (*frontend, error) {
+	f := &frontend{node: n, drain: ibischart.New(ibischart.Drain)}
+	f.gate = ibisgate.New(n.router, n.config, admission{life: n.life, hasNews: n.hasNews},
+		ibisgate.WithMaxBodyBytes(n.settings.MaxBodyBytes), ibisgate.WithRegistry(n.registry), ibisgate.WithIDs(n.router.NewID),
+		ibisgate.WithDuplicateWindow(time.Duration(n.settings.DuplicateWindowMS)*time.Millisecond))
+	router := mux.NewRouter()
+	f.gate.Register(router)
+	router.HandleFunc("/v1/metrics", n.metrics).Methods(http.MethodGet)
+	if err := n.registerAdmin(router); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.http = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	f.rpc = ibisrpc.NewServer(n.methods()...)
+	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.stop})
+	return f, nil
+}
+
+// methods lists what other daemons may call.
+func (n *node) methods() []grpc.MethodDesc {
+	return []grpc.MethodDesc{
+		ibisrpc.Unary(ibiswire.MethodHeartbeat, n.peers.Heartbeat),
+		ibisrpc.Unary(ibiswire.MethodSubmit, n.holder.Submit),
+		ibisrpc.Unary(ibiswire.MethodStatus, n.holder.Status),
+		ibisrpc.Unary(ibiswire.MethodCancel, n.holder.Cancel),
+		ibisrpc.Unary(ibiswire.MethodCancelQueue, n.holder.CancelQueue),
+		ibisrpc.Unary(ibiswire.MethodReport, n.holder.Report),
+		ibisrpc.Unary(ibiswire.MethodPlace, n.owner.Place),
+		ibisrpc.Unary(ibiswire.MethodStart, n.owner.Start),
+		ibisrpc.Unary(ibiswire.MethodRelease, n.owner.Release),
+		ibisrpc.Unary(ibiswire.MethodLocate, n.owner.Locate),
+		ibisrpc.Unary(ibiswire.MethodServers, n.owner.Servers),
+		ibisrpc.Unary(ibiswire.MethodSettle, n.settle),
+		ibisrpc.Unary(ibiswire.MethodSnapshot, n.snapshot),
+		ibisrpc.Unary(ibiswire.MethodBurn, n.burnPart),
+	}
+}
+
+func (f *frontend) start(context.Context) error {
+	peerListener, err := net.Listen("tcp", f.node.settings.PeerListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	httpListener, err := net.Listen("tcp", f.node.settings.Listen)
+	if err != nil {
+		peerListener.Close()
+		return Error.Wrap(err)
+	}
+	go func() {
+		if err := f.rpc.Serve(peerListener); err != nil {
+			log.WithField("error", err).Error("PeerListenerEnded")
+		}
+	}()
+	go func() {
+		if err := f.http.Serve(httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.WithField("error", err).Error("ListenerEnded")
+		}
+	}()
+	log.WithFields(log.Fields{"incarnation": f.node.inc.ID(), "http": httpListener.Addr().String(), "peer": peerListener.Addr().String()}).Info("Listening")
+	return nil
+}
+
+// stop drains the daemon, or only its callers when it has been revoked, and closes the listeners.
+func (f *frontend) stop(ctx context.Context) error {
+	n := f.node
+	if n.life.State() == "Revoked" {
+		f.abandon(ctx)
+	} else {
+		f.drainAll(ctx)
+	}
+	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := f.http.Shutdown(closeCtx); err != nil {
+		f.http.Close()
+	}
+	f.rpc.Stop()
+	return nil
+}
+
+// abandon lets callers be answered by the new holders of what this incarnation held.
+func (f *frontend) abandon(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, revokedDrain)
+	defer cancel()
+	f.node.holder.Abandon()
+	if err := f.gate.Drain(ctx); err != nil {
+		log.WithField("error", err).Warn("CallersCutOff")
+	}
+}
+
+// drainAll refuses new work, answers every caller, and hands over shards and backend servers.
+func (f *frontend) drainAll(ctx context.Context) {
+	n := f.node
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.DrainMS)*time.Millisecond)
+	defer cancel()
+	n.life.fire("Drain")
+	f.fire("Drain")
+	n.peers.Spread(ctx)
+	if err := f.gate.Drain(ctx); err != nil {
+		log.WithField("error", err).Warn("CallersCutOff")
+		f.fire("Abort")
+	} else {
+		f.fire("CallersDone")
+	}
+	if err := n.holder.Drain(ctx); err != nil {
+		log.WithField("error", err).Warn("ShardsNotHandedOver")
+	}
+	f.handOverServers(ctx)
+	if err := n.inc.End(ctx); err != nil {
+		log.WithField("error", err).Warn("IncarnationNotEnded")
+	}
+	n.life.fire("Leave")
+	if f.drain.State() != "Closed" {
+		f.fire("HandedOver")
+	}
+}
+
+// handOverServers waits until other daemons have claimed the backend servers, when there are others.
+func (f *frontend) handOverServers(ctx context.Context) {
+	n := f.node
+	if err := n.owner.Drain(ctx); err != nil {
+		return
+	}
+	for len(n.view().IDs()) > 0 && n.owner.Load().Servers > 0 {
+		select {
+		case <-ctx.Done():
+			log.Warn("ServersNotHandedOver")
+			return
+		case <-time.After(handOverPoll):
+		}
+	}
+}
+
+func (f *frontend) fire(event string) {
+	if err := f.drain.Fire(event); err != nil {
+		log.WithField("error", err).Error("DrainEventNotAllowed")
+	}
+}
--- a/ibisgate/gate.go
+++ b/ibisgate/gate.go
@@ -77,6 +77,7 @@
 	maxWait         time.Duration
 	duplicateWindow time.Duration
 	now             func() time.Time
+	newID           func() ibiswork.ID
 	registry        metrics.Registry
 }
 
@@ -101,6 +102,9 @@
 // WithRegistry sets where the gate counts its answers; by default it is the default registry.
 func WithRegistry(r metrics.Registry) Option { return func(g *Gate) { g.registry = r } }
 
+// WithIDs sets how the ID of a request that came without one is made.
+func WithIDs(newID func() ibiswork.ID) Option { return func(g *Gate) { g.newID = newID } }
+
 // New makes a gate that hands requests to s.
 func New(s Scheduler, c Config, a Admission, opts ...Option) *Gate {
 	g := &Gate{
@@ -112,6 +116,7 @@
 		maxWait:         DefaultMaxWait,
 		duplicateWindow: DefaultDuplicateWindow,
 		now:             time.Now,
+		newID:           ibiswork.NewID,
 		registry:        metrics.DefaultRegistry,
 	}
 	for _, opt := range opts {
--- a/ibisgate/request.go
+++ b/ibisgate/request.go
@@ -49,7 +49,7 @@
 // complete puts in the team and, when it is absent, the ID, and checks the request.
 func (g *Gate) complete(req ibiswork.Request, team string) (ibiswork.Request, error) {
 	if req.ID == "" {
-		req.ID = ibiswork.NewID()
+		req.ID = g.newID()
 	} else if err := g.checkAge(req.ID); err != nil {
 		return req, err
 	}
--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -253,3 +253,14 @@
 	}
 	return time.Now().Add(controlTimeout)
 }
+
+// Abandon gives up every shard without a word to the store, since this incarnation was revoked; callers
+// that wait are sent to the new holders.
+func (h *Holder) Abandon() {
+	h.draining.Store(true)
+	for _, sh := range h.shards {
+		if epoch, held := sh.held(); held {
+			sh.become(absent, epoch)
+		}
+	}
+}
--- a/ibisholder/locate.go
+++ b/ibisholder/locate.go
@@ -54,7 +54,11 @@
 
 // complete reports whether every backend server that may run tasks has been covered.
 func (h *Holder) complete(f found) bool {
-	for _, vm := range h.cfg.VMs() {
+	vms := h.cfg.VMs()
+	if vms == nil {
+		return false // the platform's list has not been read yet
+	}
+	for _, vm := range vms {
 		if vm.State == ibisserver.Gone {
 			continue
 		}
--- a/ibispeer/peers.go
+++ b/ibispeer/peers.go
@@ -119,7 +119,7 @@
 // that a withdrawal that was accepted anywhere has reached it.
 func (p *Peers) HasNews(now time.Time) bool {
 	v := p.View()
-	if now.Sub(v.StoreAt) <= p.cfg.CutOff {
+	if now.Sub(p.hooks.StoreNews()) <= p.cfg.CutOff {
 		return true
 	}
 	heard := 1
@@ -166,16 +166,45 @@
 	}
 }
 
-func (p *Peers) exchange(ctx context.Context, addr string, g *Gossip) {
+// Spread sends a heartbeat to every daemon at once, and counts those that have answered, this one
+// included.
+func (p *Peers) Spread(ctx context.Context) (answered, all int) {
+	var g *Gossip
+	if p.loop.Do(ctx, func() { g = p.gossip() }) != nil {
+		return 0, 1
+	}
+	members := p.View().Members
+	var wg sync.WaitGroup
+	var n atomic.Int64
+	for _, m := range members {
+		if m.ID() == p.cfg.Self.ID {
+			n.Add(1)
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if p.exchange(ctx, m.Digest.Row.Address, g) {
+				n.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	return int(n.Load()), len(members)
+}
+
+// exchange sends one heartbeat and reports whether it was answered.
+func (p *Peers) exchange(ctx context.Context, addr string, g *Gossip) bool {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := ibisrpc.Call[Gossip](ctx, p.cfg.Pool, addr, ibiswire.MethodHeartbeat, g)
 	if err != nil {
-		return
+		return false
 	}
 	if p.loop.Do(ctx, func() { p.merge(reply) }) == nil {
 		p.notify(reply)
 	}
+	return true
 }
 
 // notify tells the rest of the daemon what the sender of g said.
@@ -312,6 +341,9 @@
 
 const beatPrefix = "beat/"
 
+// BeatKey is the key of the row by which an incarnation shows the store that it lives.
+func BeatKey(incarnation string) string { return beatPrefix + incarnation }
+
 // storeRounds writes this daemon's beat and reads everybody's rows, again and again.
 func (p *Peers) storeRounds(ctx context.Context) {
 	defer p.wg.Done()
@@ -360,7 +392,7 @@
 	if err != nil {
 		return false
 	}
-	_, err = p.cfg.Table.Commit(ctx, p.cfg.Fence, ibistable.Put(beatPrefix+p.cfg.Self.ID, ibistable.Any, value))
+	_, err = p.cfg.Table.Commit(ctx, p.cfg.Fence, ibistable.Put(BeatKey(p.cfg.Self.ID), ibistable.Any, value))
 	if ibistable.Conflict.Has(err) {
 		log.WithField("incarnation", p.cfg.Self.ID).Error("IncarnationRevoked")
 		p.hooks.Revoked()
@@ -428,7 +460,7 @@
 }
 
 func (p *Peers) revoke(ctx context.Context, id string) {
-	err := ibisincarnation.Revoke(ctx, p.cfg.Table, id, "silent")
+	err := ibisincarnation.Revoke(ctx, p.cfg.Table, id, "silent", p.cfg.Fence)
 	if err != nil {
 		log.WithFields(log.Fields{"incarnation": id, "error": err}).Warn("RevocationFailed")
 		return
--- a/ibiswire/wire.go
+++ b/ibiswire/wire.go
@@ -27,6 +27,8 @@
 	MethodLocate      = "Locate"
 	MethodReport      = "Report"
 	MethodHeartbeat   = "Heartbeat"
+	MethodServers     = "Servers"
+	MethodSettle      = "Settle"
 	MethodSnapshot    = "Snapshot"
 	MethodBurn        = "Burn"
 )
@@ -219,3 +221,41 @@
 type ReportReply struct {
 	Verdicts []Verdict `json:"Verdicts"`
 }
+
+// ServersRequest asks a daemon for the backend servers that it owns or tries to own.
+type ServersRequest struct{}
+
+// ServerInfo is one backend server as its owner sees it.
+type ServerInfo struct {
+	Name          string             `json:"Name"`
+	State         CoverState         `json:"State"`
+	FailureDomain string             `json:"FailureDomain"`
+	Rack          string             `json:"Rack"`
+	Capacity      ibiswork.Resources `json:"Capacity"`
+	Used          ibiswork.Resources `json:"Used"`
+	Running       int                `json:"Running"`
+	Leaving       bool               `json:"Leaving,omitempty"`
+	Aside         string             `json:"Aside,omitempty"` // why it gets no new work
+	ByOperator    bool               `json:"ByOperator,omitempty"`
+}
+
+// ServersReply answers a ServersRequest.
+type ServersReply struct {
+	Incarnation string       `json:"Incarnation"`
+	Servers     []ServerInfo `json:"Servers,omitempty"`
+}
+
+// SettleRequest asks a daemon to move from the allotments of a dead incarnation what it counts beyond its
+// own.
+type SettleRequest struct {
+	Dead string `json:"Dead"`
+}
+
+// SettleReply says that this was done.
+type SettleReply struct{}
+
+// SnapshotRequest asks for the configuration in force at a daemon.
+type SnapshotRequest struct{}
+
+// BurnRequest asks for a daemon's part of the report on service-level burn.
+type BurnRequest struct{}
