Extrapolate use between digests, reserve for overdue items, test the queue

TestNothingStarves found a batch task of two units that did not start within an hour, because a team's low turn came always at the end of a round and only gangs held reservations.

--- /dev/null
+++ b/ibisqueue/fair_test.go
@@ -0,0 +1,115 @@
+package ibisqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ibiscrank/ibisqueue"
+	"ibiscrank/ibiswork"
+)
+
+// TestSharesDifferByOneTask checks the invariant of dominant-resource fairness: while all teams wait, no
+// team's weighted share is above another's by more than its last task.
+func TestSharesDifferByOneTask(t *testing.T) {
+	total := res(1_000_000, 1_000_000, 1000, 1000)
+	rapid.Check(t, func(t *rapid.T) {
+		var q ibisqueue.Queue
+		q.SetCapacity(total)
+		n := rapid.IntRange(2, 6).Draw(t, "teams")
+		weights, each, used := make([]float64, n), make([]ibiswork.Resources, n), make([]ibiswork.Resources, n)
+		for k := range n {
+			weights[k] = rapid.Float64Range(0.1, 10).Draw(t, "weight")
+			each[k] = res(rapid.Int64Range(1, 9000).Draw(t, "cpu"), rapid.Int64Range(1, 9000).Draw(t, "memory"), 0, 1)
+			q.SetTeam(teamName(k), weights[k], ibiswork.Resources{})
+			for j := range 200 {
+				q.Push(ibisqueue.Item{ID: ibiswork.ID(fmt.Sprintf("%d-%d", k, j)), Team: teamName(k), Class: ibiswork.Batch, Each: each[k]})
+			}
+		}
+		left := rapid.IntRange(1, 150).Draw(t, "room")
+		q.Round(start, func(i ibisqueue.Item) ibisqueue.Verdict {
+			if left--; left < 0 {
+				return ibisqueue.NoRoom
+			}
+			for k := range n {
+				if teamName(k) == i.Team {
+					used[k] = used[k].Add(each[k])
+				}
+			}
+			return ibisqueue.Taken
+		})
+		for k := range n {
+			for j := range n {
+				a, b := used[k].Sub(each[k]).Dominant(total)/weights[k], used[j].Dominant(total)/weights[j]
+				if !used[k].IsZero() && a > b+1e-9 {
+					t.Fatalf("team %d had %v before its last task, team %d has %v", k, a, j, b)
+				}
+			}
+		}
+	})
+}
+
+// TestNothingStarves keeps every class of every team waiting, while each second ends what runs, and
+// checks that one more item starts within an hour, whatever its class and size.
+func TestNothingStarves(t *testing.T) {
+	const room = 4 // unit tasks that run at once
+	rapid.Check(t, func(t *rapid.T) {
+		var q ibisqueue.Queue
+		unit := res(1000, 1000, 0, 1)
+		q.SetCapacity(unit.Times(room))
+		now, serial, left := start, 0, 0
+		push := func(id, team string, c ibiswork.Class, units int) {
+			i := ibisqueue.Item{ID: ibiswork.ID(id), Team: team, Class: c, Each: unit, Tasks: 1, Enqueued: now}
+			if c == ibiswork.Gang {
+				i.Tasks = units
+			} else {
+				i.Each = unit.Times(int64(units))
+			}
+			q.Push(i)
+		}
+		teams := rapid.IntRange(1, 3).Draw(t, "teams")
+		push("marked", "t00", rapid.SampledFrom(ibiswork.Classes).Draw(t, "class"), rapid.IntRange(1, room).Draw(t, "units"))
+		for started := false; !started; now = now.Add(time.Second) {
+			if now.Sub(start) > time.Hour {
+				t.Fatalf("not started within an hour")
+			}
+			for k := range teams {
+				for n := q.TeamLen(teamName(k)); n < 20; n++ {
+					serial++
+					push(fmt.Sprintf("%08d", serial), teamName(k), ibiswork.Classes[serial%4], 1)
+				}
+			}
+			left = room
+			q.SetRoom(unit.Times(room))
+			q.Round(now, func(i ibisqueue.Item) ibisqueue.Verdict {
+				units := int(i.Total().MilliCPU / unit.MilliCPU)
+				if units > left {
+					return ibisqueue.NoRoom
+				}
+				left -= units
+				started = started || i.ID == "marked"
+				return ibisqueue.Taken
+			})
+			for k := range teams {
+				q.SetTeam(teamName(k), 1, ibiswork.Resources{})
+			}
+		}
+	})
+}
+
+// TestOldDigestsHardlyCostFairness compares the largest deviation from the shares while full, with
+// digests that are 8 s old, with that of fresh digests, and of the baselines, for the same seed.
+func TestOldDigestsHardlyCostFairness(t *testing.T) {
+	base := shareRun{owners: 7, servers: 7, weights: []float64{1, 1, 2, 2, 4, 8}, meanRun: 2 * time.Second, length: 40 * time.Second, seed: 1}
+	fresh, old, plain, arrival := base, base, base, base
+	fresh.age, old.age, plain.age, arrival.age = tick, 8*time.Second, 8*time.Second, tick
+	plain.plain, arrival.fifo = true, true
+	f, o, p, a := fresh.run(), old.run(), plain.run(), arrival.run()
+	t.Logf("largest deviation: fresh %.3f, old %.3f, old without extrapolation %.3f, order of arrival %.3f", f.largest, o.largest, p.largest, a.largest)
+	assert.Assert(t, o.largest < 2*f.largest)
+	assert.Assert(t, o.largest < p.largest/2)
+	assert.Assert(t, o.largest < a.largest/2)
+}
--- a/ibisqueue/queue.go
+++ b/ibisqueue/queue.go
@@ -75,6 +75,8 @@
 	deadlines deadlineHeap
 	capacity  ibiswork.Resources
 	used      ibiswork.Resources // by all teams
+	room      ibiswork.Resources // free on this owner's servers
+	roomKnown bool
 	round     uint64
 	reserved  reservation
 	failed    failedShapes
--- /dev/null
+++ b/ibisqueue/queue_test.go
@@ -0,0 +1,276 @@
+package ibisqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ibiscrank/ibisqueue"
+	"ibiscrank/ibiswork"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func res(cpu, mem, acc, slots int64) ibiswork.Resources {
+	return ibiswork.Resources{MilliCPU: cpu, MemoryMB: mem, Accelerators: acc, Slots: slots}
+}
+
+func item(id, team string, c ibiswork.Class) ibisqueue.Item {
+	return ibisqueue.Item{ID: ibiswork.ID(id), Team: team, Class: c, Each: res(1000, 1000, 0, 1), Tasks: 1, Enqueued: start}
+}
+
+// take is a try function that takes up to n items and notes them.
+func take(n int, ids *[]string) func(ibisqueue.Item) ibisqueue.Verdict {
+	return func(i ibisqueue.Item) ibisqueue.Verdict {
+		if len(*ids) == n {
+			return ibisqueue.NoRoom
+		}
+		*ids = append(*ids, string(i.ID))
+		return ibisqueue.Taken
+	}
+}
+
+func TestOrderWithinATeam(t *testing.T) {
+	var q ibisqueue.Queue
+	q.SetCapacity(res(100000, 100000, 0, 100))
+	late, soon, urgent := item("i-late", "a", ibiswork.Interactive), item("i-soon", "a", ibiswork.Interactive), item("i-urgent", "a", ibiswork.Interactive)
+	late.Deadline, soon.Deadline, urgent.Urgent = start.Add(20*time.Second), start.Add(10*time.Second), true
+	old := item("b-old", "a", ibiswork.Batch)
+	old.Enqueued = start.Add(-time.Hour)
+	for _, i := range []ibisqueue.Item{old, item("b", "a", ibiswork.Batch), item("g", "a", ibiswork.Gang), item("s", "a", ibiswork.Service), item("i", "a", ibiswork.Interactive), late, soon, urgent} {
+		q.Push(i)
+	}
+	var got []string
+	assert.Equal(t, q.Round(start, take(99, &got)), 8)
+	assert.DeepEqual(t, got, []string{"i-urgent", "i-soon", "i-late", "i", "s", "g", "b-old", "b"})
+	assert.Equal(t, q.Len(), 0)
+}
+
+func TestUrgentInteractiveGoesBeforeTeamsWithLowerShares(t *testing.T) {
+	var q ibisqueue.Queue
+	q.SetCapacity(res(100000, 100000, 0, 100))
+	q.SetTeam("rich", 1, res(50000, 0, 0, 0))
+	u := item("urgent", "rich", ibiswork.Interactive)
+	u.Urgent = true
+	q.Push(item("plain", "poor", ibiswork.Interactive))
+	q.Push(u)
+	var got []string
+	q.Round(start, take(1, &got))
+	assert.DeepEqual(t, got, []string{"urgent"})
+}
+
+func TestWeightedDominantShares(t *testing.T) {
+	var q ibisqueue.Queue
+	q.SetCapacity(res(100000, 400000, 0, 1000))
+	q.SetTeam("cpu", 2, ibiswork.Resources{})
+	q.SetTeam("mem", 1, ibiswork.Resources{})
+	for n := range 200 {
+		c, m := item(fmt.Sprintf("c%d", n), "cpu", ibiswork.Batch), item(fmt.Sprintf("m%d", n), "mem", ibiswork.Batch)
+		c.Each, m.Each = res(1000, 1000, 0, 1), res(100, 4000, 0, 1)
+		q.Push(c)
+		q.Push(m)
+	}
+	used := map[string]int{}
+	q.Round(start, func(i ibisqueue.Item) ibisqueue.Verdict {
+		if used["cpu"]+used["mem"] == 90 {
+			return ibisqueue.NoRoom
+		}
+		used[i.Team]++
+		return ibisqueue.Taken
+	})
+	assert.DeepEqual(t, used, map[string]int{"cpu": 60, "mem": 30}) // 60 % and 30 % of the fleet
+	assert.Assert(t, q.Over("cpu") < 0 && q.Over("mem") < 0)
+}
+
+func TestOverLimitPassesTheTeamOver(t *testing.T) {
+	var q ibisqueue.Queue
+	for n := range 50 {
+		q.Push(item(fmt.Sprintf("a%d", n), "a", ibiswork.Batch))
+	}
+	q.Push(item("b", "b", ibiswork.Batch))
+	offers := map[string]int{}
+	q.Round(start, func(i ibisqueue.Item) ibisqueue.Verdict {
+		if offers[i.Team]++; i.Team == "a" {
+			return ibisqueue.OverLimit
+		}
+		return ibisqueue.Taken
+	})
+	assert.DeepEqual(t, offers, map[string]int{"a": 1, "b": 1})
+}
+
+func TestOffersWithoutRoomAreBounded(t *testing.T) {
+	var q ibisqueue.Queue
+	for n := range 20000 {
+		i := item(fmt.Sprintf("%d", n), fmt.Sprintf("t%d", n%140), ibiswork.Batch)
+		i.Each = res(1000+int64(n), 30000-int64(n), 0, 1) // no size covers another
+		q.Push(i)
+	}
+	offers := 0
+	q.Round(start, func(ibisqueue.Item) ibisqueue.Verdict { offers++; return ibisqueue.NoRoom })
+	assert.Assert(t, offers >= 140 && offers <= 1100, "%d offers", offers)
+	assert.Equal(t, q.Len(), 20000)
+}
+
+// TestSmallItemBehindHopelessOnesIsOffered in a few rounds, although each round has a bound.
+func TestSmallItemBehindHopelessOnesIsOffered(t *testing.T) {
+	var q ibisqueue.Queue
+	for n := range 40 {
+		i := item(fmt.Sprintf("%02d", n), "a", ibiswork.Batch)
+		i.Each = res(10000-int64(n), 1000+int64(n), 0, 1)
+		q.Push(i)
+	}
+	small := item("small", "a", ibiswork.Batch)
+	small.Enqueued = start.Add(time.Second)
+	q.Push(small)
+	rounds := 0
+	for q.Len() == 41 {
+		rounds++
+		assert.Assert(t, rounds <= 20)
+		q.Round(start, func(i ibisqueue.Item) ibisqueue.Verdict {
+			if i.ID == "small" {
+				return ibisqueue.Taken
+			}
+			return ibisqueue.NoRoom
+		})
+	}
+}
+
+// TestPickyItemDoesNotBlockOthers checks that an item which must avoid the only server with room does not
+// keep items of the same size from it.
+func TestPickyItemDoesNotBlockOthers(t *testing.T) {
+	var q ibisqueue.Queue
+	p := item("0-picky", "a", ibiswork.Interactive)
+	p.Picky = true
+	q.Push(p)
+	q.Push(item("1", "a", ibiswork.Interactive))
+	taken := q.Round(start, func(i ibisqueue.Item) ibisqueue.Verdict {
+		if i.Picky {
+			return ibisqueue.NoRoom
+		}
+		return ibisqueue.Taken
+	})
+	assert.Equal(t, taken, 1)
+}
+
+func TestExpired(t *testing.T) {
+	var q ibisqueue.Queue
+	for n, d := range []time.Duration{3 * time.Second, time.Second, 2 * time.Second, 0} {
+		i := item(fmt.Sprintf("%d", n), "a", ibiswork.Interactive)
+		if d > 0 {
+			i.Deadline = start.Add(d)
+		}
+		i.RunTime = 500 * time.Millisecond
+		q.Push(i)
+	}
+	assert.Equal(t, len(q.Expired(start.Add(500*time.Millisecond))), 0)
+	gone := q.Expired(start.Add(1600 * time.Millisecond))
+	assert.Equal(t, len(gone), 2)
+	assert.Equal(t, gone[0].ID, ibiswork.ID("1"))
+	assert.Equal(t, q.Len(), 2)
+	assert.Equal(t, len(q.Expired(start.Add(time.Hour))), 1)
+}
+
+func TestPreemptionTeam(t *testing.T) {
+	var q ibisqueue.Queue
+	q.SetCapacity(res(100000, 100000, 0, 100))
+	q.SetTeam("over", 1, res(80000, 0, 0, 80))
+	q.SetTeam("under", 1, res(20000, 0, 0, 20))
+	_, _, ok := q.PreemptionTeam()
+	assert.Assert(t, !ok, "nobody waits")
+	q.Push(item("1", "under", ibiswork.Batch))
+	q.Round(start, func(ibisqueue.Item) ibisqueue.Verdict { return ibisqueue.NoRoom })
+	over, waiting, ok := q.PreemptionTeam()
+	assert.Assert(t, ok)
+	assert.Equal(t, over+" "+waiting, "over under")
+	q.Charge("over", res(-28000, 0, 0, -28))
+	q.Charge("under", res(28000, 0, 0, 28))
+	_, _, ok = q.PreemptionTeam()
+	assert.Assert(t, !ok, "shares are nearly equal")
+}
+
+// TestBookkeeping compares the queue with a plain map under random use.
+func TestBookkeeping(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q ibisqueue.Queue
+		q.SetCapacity(res(20000, 20000, 0, 20))
+		m := map[ibiswork.ID]ibisqueue.Item{}
+		now, serial := start, 0
+		gone := func(items []ibisqueue.Item) {
+			for _, i := range items {
+				if m[i.ID] != i {
+					t.Fatalf("%s was not waiting", i.ID)
+				}
+				delete(m, i.ID)
+			}
+		}
+		team := func() string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team") }
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				serial++
+				i := item(fmt.Sprintf("%05d", serial), team(), rapid.SampledFrom(ibiswork.Classes).Draw(t, "class"))
+				i.Enqueued = now
+				i.Urgent = rapid.Bool().Draw(t, "urgent")
+				i.Picky = rapid.IntRange(0, 5).Draw(t, "picky") == 0
+				i.Each.MilliCPU = rapid.Int64Range(0, 5000).Draw(t, "cpu")
+				if i.Class == ibiswork.Gang {
+					i.Tasks = rapid.IntRange(1, 9).Draw(t, "tasks")
+				}
+				if d := rapid.IntRange(0, 30).Draw(t, "deadline"); d > 0 {
+					i.Deadline = now.Add(time.Duration(d) * time.Second)
+				}
+				q.Push(i)
+				q.Push(i)
+				m[i.ID] = i
+			},
+			"remove": func(t *rapid.T) {
+				id := ibiswork.ID(fmt.Sprintf("%05d", rapid.IntRange(0, serial).Draw(t, "id")))
+				i, ok := q.Remove(id)
+				if _, want := m[id]; ok != want || (ok && i != m[id]) {
+					t.Fatalf("Remove %s: %v", id, ok)
+				}
+				delete(m, id)
+			},
+			"removeTeam": func(*rapid.T) { gone(q.RemoveTeam(team())) },
+			"expired": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second)
+				gone(q.Expired(now))
+				for _, i := range m {
+					if !i.Deadline.IsZero() && i.LatestStart().Before(now) {
+						t.Fatalf("%s is late and still waits", i.ID)
+					}
+				}
+			},
+			"round": func(t *rapid.T) {
+				verdicts := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 8).Draw(t, "verdicts")
+				offers, taken := 0, 0
+				n := q.Round(now, func(i ibisqueue.Item) ibisqueue.Verdict {
+					if m[i.ID] != i {
+						t.Fatalf("%s was offered and does not wait", i.ID)
+					}
+					v := ibisqueue.Verdict(min(verdicts[offers%len(verdicts)], 2))
+					offers++
+					if v == ibisqueue.Taken {
+						taken++
+						delete(m, i.ID)
+					}
+					return v
+				})
+				if n != taken {
+					t.Fatalf("Round says %d, %d were taken", n, taken)
+				}
+			},
+			"": func(t *rapid.T) {
+				teams := map[string]int{}
+				for _, i := range m {
+					teams[i.Team]++
+				}
+				if q.Len() != len(m) || q.TeamLen("a") != teams["a"] || q.TeamLen("b") != teams["b"] {
+					t.Fatalf("%d wait, want %d", q.Len(), len(m))
+				}
+			},
+		})
+	})
+}
--- a/ibisqueue/round.go
+++ b/ibisqueue/round.go
@@ -49,13 +49,13 @@
 	parked []*group
 	noRoom int
 	taken  int
-	gang   *entry // blocked, and first in line for a reservation
+	first  *entry // of those without room, first in line for a reservation
 }
 
 // Round offers items to try in fair order and reports how many were taken. A team whose item is
 // OverLimit is passed over. The number of offers that find no room is bounded, and items like one that
-// found no room are not offered again in the same round. While a blocked gang holds a reservation, only
-// interactive items and items that leave it enough room are offered.
+// found no room are not offered again in the same round. While a blocked gang, or another item that is
+// overdue, holds a reservation, only interactive items and items that leave it enough room are offered.
 func (q *Queue) Round(now time.Time, try func(Item) Verdict) (taken int) {
 	q.begin(now)
 	r := round{q: q, now: now, try: try}
@@ -63,7 +63,8 @@
 	r.offerReserved()
 	r.run(false)
 	r.restore()
-	q.reserve(now, r.gang)
+	q.reserve(now, r.first)
+	q.roomKnown = false
 	return r.taken
 }
 
@@ -120,7 +121,8 @@
 		if r.q.entries[e.item.ID] == e {
 			r.q.drop(e)
 		}
-		r.q.charge(t, e.item.Total())
+		r.q.charge(t, scaled(e.item.Total(), t.scale))
+		r.q.room = r.q.room.Sub(e.item.Total())
 	case OverLimit:
 		t.skip = r.q.round
 	default:
@@ -138,8 +140,8 @@
 	if max(e.item.Tasks, 1) == 1 && !e.item.Picky {
 		r.q.failed.add(g.level, e.item.Each)
 	}
-	if e.item.Class == ibiswork.Gang && (r.gang == nil || e.reserved < r.gang.reserved) {
-		r.gang = e
+	if r.mayReserve(e) && (r.first == nil || e.reserved < r.first.reserved) {
+		r.first = e
 	}
 	if g.pos >= 0 {
 		r.park(t, g)
@@ -149,6 +151,11 @@
 	}
 }
 
+// mayReserve reports whether e may hold a reservation: a gang at once, any other item once overdue.
+func (r *round) mayReserve(e *entry) bool {
+	return e.item.Class == ibiswork.Gang || r.now.Sub(e.item.Enqueued) > overdue
+}
+
 // hopeless reports whether the head of g need not be offered: a smaller item found no room in this
 // round, or the group found none a few rounds ago and enough others of the team are offered.
 func (r *round) hopeless(t *team, g *group) bool {
--- a/ibisqueue/team.go
+++ b/ibisqueue/team.go
@@ -30,8 +30,9 @@
 	levelBatch:       time.Hour,
 }
 
-// lowTurn is the number of turns of a team of which one goes to its least urgent class.
-const lowTurn = 16
+// lowTurn is the number of turns of a team of which one goes to its least urgent class. It is a prime, so
+// that these turns do not always come at the same moment of a round.
+const lowTurn = 17
 
 func (i Item) level() level {
 	switch i.Class {
@@ -108,7 +109,11 @@
 type team struct {
 	name    string
 	weight  float64
-	used    ibiswork.Resources
+	used    ibiswork.Resources // in the fleet, as far as is known
+	fleet   ibiswork.Resources // as the last SetTeam said
+	local   ibiswork.Resources // the part of fleet on this owner's servers
+	owners  int
+	scale   float64 // of local changes, see SetLocal
 	share   float64 // dominant share of the fleet
 	classes [levelCount]class
 	waiting int
