Leave charging to the caller of Round, count services by domain

The owner charges what it starts inside try, with the size that it booked, and takes items that left by another way without any charge; Round charged them once more. Services counts tasks by domain and rack, so that a decision on a service need not look at all running tasks.

--- a/ibisplace/place_test.go
+++ b/ibisplace/place_test.go
@@ -259,3 +259,20 @@
 		})
 	})
 }
+
+func TestServicesCounts(t *testing.T) {
+	var s ibisplace.Services
+	a, b := server(0, res(1, 1, 0, 1)), server(4, res(1, 1, 0, 1))
+	s.Add("t", "web", a, 1)
+	s.Add("t", "web", b, 2)
+	s.Add("t", "other", b, 1)
+	domains, racks := s.Of("t", "web")
+	assert.DeepEqual(t, domains, map[string]int{"d0": 1, "d1": 2})
+	assert.DeepEqual(t, racks, map[string]int{"r0": 1, "r1": 2})
+	s.Add("t", "web", a, -1)
+	domains, _ = s.Of("t", "web")
+	assert.DeepEqual(t, domains, map[string]int{"d1": 2})
+	s.Add("t", "web", b, -2)
+	domains, _ = s.Of("t", "web")
+	assert.Equal(t, len(domains), 0)
+}
--- a/ibisqueue/driver_test.go
+++ b/ibisqueue/driver_test.go
@@ -110,6 +110,7 @@
 			heap.Push(&o.ends, ending{end, name, i, i.Each})
 		}
 		o.used[i.Team] = o.used[i.Team].Add(i.Total())
+		o.queue.Charge(i.Team, i.Total())
 		o.began[i.ID] = now
 		return ibisqueue.Taken
 	}
--- a/ibisqueue/fair_test.go
+++ b/ibisqueue/fair_test.go
@@ -37,6 +37,7 @@
 			for k := range n {
 				if teamName(k) == i.Team {
 					used[k] = used[k].Add(each[k])
+					q.Charge(i.Team, each[k])
 				}
 			}
 			return ibisqueue.Taken
@@ -90,6 +91,7 @@
 					return ibisqueue.NoRoom
 				}
 				left -= units
+				q.Charge(i.Team, i.Total())
 				started = started || i.ID == "marked"
 				return ibisqueue.Taken
 			})
--- a/ibisqueue/queue.go
+++ b/ibisqueue/queue.go
@@ -6,8 +6,7 @@
 // The package does no input or output, starts no goroutine and reads no clock; one goroutine may use a
 // Queue at a time.
 //
-// Round charges the Total of each item that is Taken to its team. The caller charges what ends, and the
-// difference where it started a task with another size.
+// The caller charges to a team what it starts for it, also within a Round, and takes back what ends.
 //
 // Usage:
 //
@@ -21,6 +20,7 @@
 //			return ibisqueue.NoRoom
 //		}
 //		start(i, name)
+//		q.Charge(i.Team, i.Total())
 //		return ibisqueue.Taken
 //	})
 package ibisqueue
--- a/ibisqueue/queue_test.go
+++ b/ibisqueue/queue_test.go
@@ -79,6 +79,7 @@
 			return ibisqueue.NoRoom
 		}
 		used[i.Team]++
+		q.Charge(i.Team, i.Total())
 		return ibisqueue.Taken
 	})
 	assert.DeepEqual(t, used, map[string]int{"cpu": 60, "mem": 30}) // 60 % and 30 % of the fleet
--- a/ibisqueue/round.go
+++ b/ibisqueue/round.go
@@ -52,7 +52,8 @@
 	first  *entry // of those without room, first in line for a reservation
 }
 
-// Round offers items to try in fair order and reports how many were taken. A team whose item is
+// Round offers items to try in fair order and reports how many were taken. For an item that it starts,
+// try calls Charge, so that the next offer goes by the new shares, and returns Taken. A team whose item is
 // OverLimit is passed over. The number of offers that find no room is bounded, and items like one that
 // found no room are not offered again in the same round. While a blocked gang, or another item that is
 // overdue, holds a reservation, only interactive items and items that leave it enough room are offered.
@@ -121,8 +122,6 @@
 		if r.q.entries[e.item.ID] == e {
 			r.q.drop(e)
 		}
-		r.q.charge(t, scaled(e.item.Total(), t.scale))
-		r.q.room = r.q.room.Sub(e.item.Total())
 	case OverLimit:
 		t.skip = r.q.round
 	default:
--- a/ibisqueue/share.go
+++ b/ibisqueue/share.go
@@ -63,6 +63,7 @@
 // Charge changes what a team has in use on this owner's servers since the last SetTeam.
 func (q *Queue) Charge(name string, delta ibiswork.Resources) {
 	t := q.team(name)
+	q.room = q.room.Sub(delta)
 	q.charge(t, scaled(delta, t.scale))
 }
 
