--- a/ibisconfig/config.go
+++ b/ibisconfig/config.go
@@ -103,8 +103,8 @@
 		bad = append(bad, fmt.Sprintf("UpperLimit: %v", err))
 	}
 	for i, o := range t.Objectives {
-		if !o.Class.Valid() || o.TargetMS < 0 || !(o.Goal > 0 && o.Goal < 1) {
-			bad = append(bad, fmt.Sprintf("Objectives[%d]: needs a known Class, a TargetMS of zero or more and a Goal between 0 and 1", i))
+		if err := o.Check(); err != nil {
+			bad = append(bad, fmt.Sprintf("Objectives[%d]: %v", i, err))
 		}
 	}
 	if len(t.Objectives) > MaxObjectives {
--- /dev/null
+++ b/ibisconfig/help_test.go
@@ -0,0 +1,54 @@
+package ibisconfig
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	os.Exit(m.Run())
+}
+
+var testTime = time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
+
+var changeCount struct {
+	sync.Mutex
+	n int
+}
+
+// change is a Change with a new ID and no condition.
+func change(set func(*Change)) Change {
+	changeCount.Lock()
+	defer changeCount.Unlock()
+	changeCount.n++
+	c := Change{ID: fmt.Sprintf("change-%06d", changeCount.n), Operator: "nara", BasedOn: NoCondition, At: testTime}
+	set(&c)
+	return c
+}
+
+func putTeam(name string, share float64) Change {
+	return change(func(c *Change) { c.PutTeam = &Team{Name: name, Share: share} })
+}
+
+func addKey(team, key string) Change {
+	return change(func(c *Change) { c.AddKey = &AddKey{Team: team, Key: Key{Name: key, Hash: HashKey(key)}} })
+}
+
+func withdrawKey(team, key string) Change {
+	return change(func(c *Change) { c.WithdrawKey = &WithdrawKey{Team: team, Name: key} })
+}
+
+func mustApply(t *testing.T, s *Store, c Change) Result {
+	t.Helper()
+	res, err := s.Apply(t.Context(), c)
+	assert.NilError(t, err)
+	return res
+}
--- a/ibisconfig/snapshot.go
+++ b/ibisconfig/snapshot.go
@@ -157,3 +157,9 @@
 	}
 	return "", false
 }
+
+// ServerVersion is the version in which the backend server was set aside, zero when it is not.
+func (s *Snapshot) ServerVersion(server string) int64 { return s.Versions[asidePrefix+server] }
+
+// OperatorVersion is the version in which the operator was last changed, zero when there is none.
+func (s *Snapshot) OperatorVersion(name string) int64 { return s.Versions[operatorPrefix+name] }
--- a/ibisconfig/store.go
+++ b/ibisconfig/store.go
@@ -177,22 +177,23 @@
 	return h, Unavailable.New("the configuration changed %d times while it was read", pullAttempts)
 }
 
-// readHead reads the head and creates it in a fresh table.
+// readHead reads the head and creates it in a fresh table. Its creation is harmless to repeat.
 func (s *Store) readHead(ctx context.Context) (head, error) {
-	h, err := s.getHead(ctx)
-	if !ibistable.NotFound.Has(err) {
-		return h, Unavailable.Wrap(err)
-	}
 	b, err := encode(head{Version: 1})
 	if err != nil {
-		return h, err
+		return head{}, err
 	}
-	_, err = s.table.Commit(ctx, ibistable.Put(headKey, ibistable.Absent, b))
-	if err != nil && !ibistable.Conflict.Has(err) && !ibistable.Unknown.Has(err) {
-		return h, Unavailable.Wrap(err)
+	for range pullAttempts {
+		h, err := s.getHead(ctx)
+		if !ibistable.NotFound.Has(err) {
+			return h, Unavailable.Wrap(err)
+		}
+		_, err = s.table.Commit(ctx, ibistable.Put(headKey, ibistable.Absent, b))
+		if err != nil && !ibistable.Conflict.Has(err) && !ibistable.Unknown.Has(err) {
+			return h, Unavailable.Wrap(err)
+		}
 	}
-	h, err = s.getHead(ctx)
-	return h, Unavailable.Wrap(err)
+	return head{}, Unavailable.New("the head could not be created")
 }
 
 func (s *Store) getHead(ctx context.Context) (head, error) {
--- a/ibisconfig/store_test.go
+++ b/ibisconfig/store_test.go
@@ -10,18 +10,20 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"ibiscrank/ibistablefake"
 )
 
 func TestStoreStartsKnowingNothing(t *testing.T) {
-	table := newFakeTable()
-	table.setAway(true)
+	table := ibistablefake.New()
+	table.SetDown(true)
 	s := NewStore(table).WithBootstrap(HashKey("first"))
 	assert.Equal(t, s.Snapshot().Version, int64(0))
 	assert.Assert(t, Unavailable.Has(s.Poll(t.Context())))
 	_, ok := s.Snapshot().Operator("first")
 	assert.Assert(t, !ok, "the bootstrap key is in force before the table was read")
 
-	table.setAway(false)
+	table.SetDown(false)
 	assert.NilError(t, s.Poll(t.Context()))
 	assert.Equal(t, s.Snapshot().Version, int64(1))
 	name, ok := s.Snapshot().Operator("first")
@@ -34,8 +36,18 @@
 	assert.Assert(t, !ok, "the bootstrap key is in force beside an operator")
 }
 
+func TestFreshTableUnderFaults(t *testing.T) {
+	table := ibistablefake.New()
+	table.Inject(ibistablefake.LostRequest, ibistablefake.Contended, ibistablefake.Late, ibistablefake.LostReply)
+	s := NewStore(table)
+	mustApply(t, s, putTeam("tuul-floor", 3))
+	table.ApplyLate()
+	assert.NilError(t, s.Poll(t.Context()))
+	assert.Equal(t, s.Snapshot().Version, int64(2))
+}
+
 func TestChangesReachOtherStores(t *testing.T) {
-	table := newFakeTable()
+	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
 	mustApply(t, a, putTeam("tuul-floor", 3))
 	mustApply(t, a, addKey("tuul-floor", "mill"))
@@ -59,7 +71,7 @@
 }
 
 func TestPutTeamKeepsKeys(t *testing.T) {
-	s := NewStore(newFakeTable())
+	s := NewStore(ibistablefake.New())
 	mustApply(t, s, putTeam("tuul-floor", 3))
 	mustApply(t, s, addKey("tuul-floor", "mill"))
 	mustApply(t, s, putTeam("tuul-floor", 9))
@@ -69,7 +81,7 @@
 }
 
 func TestStaleChangeIsRefusedWithWhatChanged(t *testing.T) {
-	table := newFakeTable()
+	table := ibistablefake.New()
 	s := NewStore(table)
 	seen := mustApply(t, s, putTeam("tuul-floor", 3)).Version
 	mustApply(t, s, putTeam("tuul-floor", 4))
@@ -90,11 +102,11 @@
 }
 
 func TestLostReplyIsRepeatedOnce(t *testing.T) {
-	table := newFakeTable()
+	table := ibistablefake.New()
 	s := NewStore(table)
 	mustApply(t, s, putTeam("tuul-floor", 3))
 	before := s.Snapshot().Version
-	table.lose = 1
+	table.Inject(ibistablefake.LostReply)
 	res := mustApply(t, s, addKey("tuul-floor", "mill"))
 	assert.DeepEqual(t, res, Result{Version: before + 1, Repeated: true})
 	assert.Equal(t, s.Snapshot().Version, before+1)
@@ -112,7 +124,7 @@
 
 func TestOperatorsRace(t *testing.T) {
 	const operators, keys = 5, 6
-	table := newFakeTable()
+	table := ibistablefake.New()
 	first := NewStore(table)
 	mustApply(t, first, putTeam("tuul-floor", 1))
 	mustApply(t, first, addKey("tuul-floor", "old"))
@@ -141,7 +153,7 @@
 }
 
 func TestLongAbsenceReadsEverything(t *testing.T) {
-	table := newFakeTable()
+	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
 	mustApply(t, a, putTeam("gone", 1))
 	assert.NilError(t, b.Poll(t.Context()))
@@ -154,11 +166,11 @@
 }
 
 func TestDenySet(t *testing.T) {
-	table := newFakeTable()
+	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
 	mustApply(t, a, putTeam("tuul-floor", 1))
 	mustApply(t, a, addKey("tuul-floor", "mill"))
-	table.setAway(true)
+	table.SetDown(true)
 	a.Deny(HashKey("mill"))
 	_, ok := a.Snapshot().Authenticate("mill")
 	assert.Assert(t, !ok)
@@ -166,7 +178,7 @@
 	assert.DeepEqual(t, b.Denied(), []KeyHash{HashKey("mill")})
 	assert.Assert(t, !b.Adopt(a.Snapshot()), "the same version was adopted twice")
 
-	table.setAway(false)
+	table.SetDown(false)
 	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
 	assert.NilError(t, b.WriteDenied(t.Context(), testTime))
 	fresh := NewStore(table)
@@ -180,7 +192,7 @@
 }
 
 func TestSnapshotEncodes(t *testing.T) {
-	s := NewStore(newFakeTable())
+	s := NewStore(ibistablefake.New())
 	mustApply(t, s, putTeam("tuul-floor", 1))
 	mustApply(t, s, addKey("tuul-floor", "mill"))
 	s.Deny(HashKey("x"))
@@ -207,7 +219,7 @@
 }
 
 func TestInvalidChanges(t *testing.T) {
-	s := NewStore(newFakeTable())
+	s := NewStore(ibistablefake.New())
 	mustApply(t, s, putTeam("tuul-floor", 1))
 	mustApply(t, s, putTeam("tuul-desk", 1))
 	mustApply(t, s, addKey("tuul-floor", "mill"))
@@ -237,14 +249,15 @@
 // and exchanges of snapshots.
 func TestNeverAnOlderVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		table := newFakeTable()
+		table := ibistablefake.New()
 		stores := []*Store{NewStore(table), NewStore(table), NewStore(table)}
+		assert.NilError(rt, stores[0].Poll(t.Context()))
 		last := make([]int64, len(stores))
 		shareAt := make(map[int64]float64) // the team's share at each version
-		n := 0
+		n, down := 0, false
 		rt.Repeat(map[string]func(*rapid.T){
 			"change": func(rt *rapid.T) {
-				if table.away {
+				if down {
 					return
 				}
 				n++
@@ -252,8 +265,13 @@
 				assert.NilError(rt, err)
 				shareAt[res.Version] = float64(n)
 			},
-			"lose": func(*rapid.T) { table.lose = 1 },
-			"away": func(*rapid.T) { table.setAway(!table.away) },
+			"fault": func(rt *rapid.T) {
+				table.Inject(rapid.SampledFrom([]ibistablefake.Fault{
+					ibistablefake.LostReply, ibistablefake.LostRequest, ibistablefake.Late, ibistablefake.Contended,
+				}).Draw(rt, "fault"))
+			},
+			"late": func(*rapid.T) { table.ApplyLate() },
+			"down": func(*rapid.T) { down = !down; table.SetDown(down) },
 			"poll": func(rt *rapid.T) { _ = stores[rapid.IntRange(0, 2).Draw(rt, "store")].Poll(t.Context()) },
 			"adopt": func(rt *rapid.T) {
 				stores[rapid.IntRange(0, 2).Draw(rt, "to")].Adopt(stores[rapid.IntRange(0, 2).Draw(rt, "from")].Snapshot())
