ibisadmin: serve operators by HTTP and a phone page

Cause: operators change teams, keys and servers set aside without editing files, and act from a phone at night.

Change: a JSON API under /v1/admin with bearer keys, and pages under /ops in plain HTML. Every action asks before it is done and carries a change ID from the question, so that a reload does nothing twice. Actions need the session's token and a request of the same origin. The session is the key in an HttpOnly, SameSite=Strict cookie, so any daemon can check it and a withdrawal ends it.

Not looked at in a browser: there is no Chromium on this machine.

--- /dev/null
+++ b/ibisadmin/actions.go
@@ -0,0 +1,153 @@
+package ibisadmin
+
+import (
+	"crypto/hmac"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibiswork"
+)
+
+// action is one thing that the page can do.
+type action struct {
+	Title    string
+	Question string   // %s is the subject
+	Effect   string   // what happens then
+	Fields   []string // of the form that names the subject
+	Reason   bool     // asks for a reason
+	Counts   bool     // the reply tells how many requests were cancelled
+	do       func(a *Admin, r *http.Request, operator string, req ChangeRequest, fields map[string]string) (ChangeReply, error)
+}
+
+var actions = map[string]action{
+	"aside": {
+		Title: "Set aside", Question: "Set the backend server %s aside?",
+		Effect: "It gets no new work within seconds. What runs on it goes on.",
+		Fields: []string{"server"}, Reason: true,
+		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.setAside(mux.SetURLVars(r, f), operator, req)
+		},
+	},
+	"return": {
+		Title: "Return", Question: "Return the backend server %s?",
+		Effect: "It gets new work again.",
+		Fields: []string{"server"},
+		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.returnServer(mux.SetURLVars(r, f), operator, req)
+		},
+	},
+	"withdraw": {
+		Title: "Withdraw key", Question: "Withdraw the key %s?",
+		Effect: "It stops working everywhere within seconds and can not be brought back.",
+		Fields: []string{"team", "key"},
+		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.withdrawKey(mux.SetURLVars(r, f), operator, req)
+		},
+	},
+	"cancel": {
+		Title: "Cancel queue", Question: "Cancel everything that the team %s has waiting?",
+		Effect: "Waiting requests end as Cancelled. What runs goes on.",
+		Fields: []string{"team"}, Counts: true,
+		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.cancelQueue(mux.SetURLVars(r, f), operator, req)
+		},
+	},
+}
+
+// confirmBody is the body of the page that asks before an action. ID makes a repeat harmless.
+type confirmBody struct {
+	action
+	Name     string
+	Question string
+	Values   map[string]string
+	ID       string
+	BasedOn  int64
+}
+
+func (a *Admin) confirm(w http.ResponseWriter, r *http.Request, p page) {
+	act, fields, err := actionOf(mux.Vars(r)["action"], r.URL.Query().Get)
+	if err != nil {
+		a.fail(w, p, err)
+		return
+	}
+	var subject []string
+	for _, name := range act.Fields {
+		subject = append(subject, fields[name])
+	}
+	p.Title = act.Title
+	p.Body = confirmBody{
+		action: act, Name: mux.Vars(r)["action"], Values: fields,
+		Question: fmt.Sprintf(act.Question, strings.Join(subject, " / ")),
+		ID:       uuid.Must(uuid.NewV7()).String(),
+		BasedOn:  a.seenVersion(fields),
+	}
+	a.render(w, http.StatusOK, "confirm.html", p)
+}
+
+// seenVersion is the version of a backend server's row that the operator decides on.
+func (a *Admin) seenVersion(fields map[string]string) int64 {
+	if server, ok := fields["server"]; ok {
+		return a.Config.Snapshot().ServerVersion(server)
+	}
+	return ibisconfig.NoCondition
+}
+
+func actionOf(name string, get func(string) string) (action, map[string]string, error) {
+	act, ok := actions[name]
+	if !ok {
+		return act, nil, ibiswork.Refuse(ibiswork.CodeNotFound, "there is no action %s", name)
+	}
+	fields := make(map[string]string)
+	for _, f := range act.Fields {
+		if fields[f] = get(f); fields[f] == "" {
+			return act, nil, ibiswork.Refuse(ibiswork.CodeBadRequest, "%s is missing", f)
+		}
+	}
+	return act, fields, nil
+}
+
+// act does an action that was confirmed. The same-origin check stands before it.
+func (a *Admin) act(w http.ResponseWriter, r *http.Request, p page) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
+	if !hmac.Equal([]byte(r.PostFormValue("token")), []byte(p.Token)) {
+		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeForbidden, "the form is not from this session"))
+		return
+	}
+	name := mux.Vars(r)["action"]
+	act, fields, err := actionOf(name, r.PostFormValue)
+	if err != nil {
+		a.fail(w, p, err)
+		return
+	}
+	basedOn, err := strconv.ParseInt(r.PostFormValue("basedOn"), 10, 64)
+	if err != nil {
+		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeBadRequest, "basedOn: not a number"))
+		return
+	}
+	req := ChangeRequest{ID: r.PostFormValue("id"), BasedOn: basedOn, Reason: r.PostFormValue("reason")}
+	reply, err := act.do(a, r, p.Operator, req, fields)
+	if err != nil {
+		a.fail(w, p, err)
+		return
+	}
+	p.Title, p.Body = "Done", outcome{OK: true, Message: doneMessage(act, reply)}
+	a.render(w, http.StatusOK, "outcome.html", p)
+}
+
+func doneMessage(act action, reply ChangeReply) string {
+	switch {
+	case act.Counts:
+		return fmt.Sprintf("%d requests were cancelled.", reply.Cancelled)
+	case reply.Pending:
+		return "It is in force everywhere and is written down when the table service is back."
+	case reply.Repeated:
+		return fmt.Sprintf("It was done before, in version %d.", reply.Version)
+	}
+	return fmt.Sprintf("It is version %d of the configuration and in force everywhere within seconds.", reply.Version)
+}
--- /dev/null
+++ b/ibisadmin/overview.go
@@ -0,0 +1,79 @@
+package ibisadmin
+
+import (
+	"time"
+
+	"ibiscrank/ibiswork"
+)
+
+// Overview is the state of the fleet as one daemon knows it.
+type Overview struct {
+	At      time.Time       `json:"At"`
+	Daemons []Daemon        `json:"Daemons"`
+	Store   StoreHealth     `json:"Store"`
+	Servers []BackendServer `json:"Servers"`
+	Teams   []TeamLoad      `json:"Teams"`
+	Alerts  []Alert         `json:"Alerts"`
+}
+
+// Daemon is one daemon.
+type Daemon struct {
+	Incarnation   string `json:"Incarnation"`
+	Address       string `json:"Address"`
+	FailureDomain string `json:"FailureDomain"`
+	State         string `json:"State"`
+	ConfigVersion int64  `json:"ConfigVersion"`
+	NewsAgeMS     int64  `json:"NewsAgeMS"` // since its last word from the store or a peer
+	Answers       bool   `json:"Answers"`
+}
+
+// StoreHealth is the state of the table service.
+type StoreHealth struct {
+	Reachable       bool    `json:"Reachable"`
+	AwayMS          int64   `json:"AwayMS,omitempty"` // since the last reply
+	LatencyMS       float64 `json:"LatencyMS"`        // of recent calls
+	WritesPerSecond float64 `json:"WritesPerSecond"`
+}
+
+// ServerState is the state of a backend server.
+type ServerState string
+
+// The states of a backend server.
+const (
+	ServerLive        ServerState = "Live"
+	ServerLeaving     ServerState = "Leaving"
+	ServerUnreachable ServerState = "Unreachable"
+	ServerGone        ServerState = "Gone"
+)
+
+// BackendServer is one backend server.
+type BackendServer struct {
+	Name          string             `json:"Name"`
+	FailureDomain string             `json:"FailureDomain"`
+	Rack          string             `json:"Rack"`
+	Owner         string             `json:"Owner"` // incarnation of its owner, empty when it has none
+	Free          ibiswork.Resources `json:"Free"`
+	Used          ibiswork.Resources `json:"Used"`
+	Capacity      ibiswork.Resources `json:"Capacity"`
+	Running       int                `json:"Running"` // tasks
+	State         ServerState        `json:"State"`
+	// SetAside says that it gets no new work; Reason says why and ByOperator who decided it.
+	SetAside   bool   `json:"SetAside,omitempty"`
+	Reason     string `json:"Reason,omitempty"`
+	ByOperator bool   `json:"ByOperator,omitempty"` // otherwise a daemon, after failures
+}
+
+// TeamLoad is what a team has in the fleet.
+type TeamLoad struct {
+	Name          string             `json:"Name"`
+	Running       ibiswork.Resources `json:"Running"`
+	RunningTasks  int                `json:"RunningTasks"`
+	Share         float64            `json:"Share"`         // part of the fleet that it has, by its dominant resource, 0 to 1
+	DeservedShare float64            `json:"DeservedShare"` // part of the fleet that it would have if the fleet were full
+	UpperLimit    ibiswork.Resources `json:"UpperLimit"`
+	Queued        int                `json:"Queued"`
+	OldestMS      int64              `json:"OldestMS,omitempty"` // how long the oldest queued request has waited
+}
+
+// limitUse is the largest part of the team's upper limit that is running.
+func (t TeamLoad) limitUse() float64 { return t.Running.Dominant(t.UpperLimit) }
--- /dev/null
+++ b/ibisadmin/page.go
@@ -0,0 +1,345 @@
+package ibisadmin
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"embed"
+	"encoding/hex"
+	"fmt"
+	"html/template"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+
+	"ibiscrank/ibisburn"
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibiswork"
+)
+
+//go:embed pages/*.html pages/style.css
+var pageFiles embed.FS
+
+const (
+	cookieName = "ibiscrank_operator"
+	// sessionSeconds is how long the browser keeps the operator's key.
+	sessionSeconds = 12 * 3600
+	// maxListed bounds each list on the page; the filter finds the rest.
+	maxListed    = 50
+	maxWorst     = 10
+	maxFormBytes = 8 << 10
+	auditOnPage  = 50
+)
+
+var pages = template.Must(template.New("").Funcs(template.FuncMap{
+	"percent": func(f float64) string { return fmt.Sprintf("%.0f%%", 100*f) },
+	"rate":    func(f float64) string { return fmt.Sprintf("%.1f", f) },
+	"ms": func(n int64) string {
+		return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String()
+	},
+	"millis": func(f float64) string {
+		return time.Duration(f * float64(time.Millisecond)).Round(time.Millisecond).String()
+	},
+	"resources": resourcesText,
+	"time":      func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
+	"first":     firstSubjects,
+	"lower":     func(v any) string { return strings.ToLower(fmt.Sprint(v)) },
+}).ParseFS(pageFiles, "pages/*.html"))
+
+// resourcesText is r in the units that people use.
+func resourcesText(r ibiswork.Resources) string {
+	s := fmt.Sprintf("%.4g cores, %.4g GiB", float64(r.MilliCPU)/1000, float64(r.MemoryMB)/1024)
+	if r.Accelerators > 0 {
+		s += fmt.Sprintf(", %d accelerators", r.Accelerators)
+	}
+	if r.Slots > 0 {
+		s += fmt.Sprintf(", %d slots", r.Slots)
+	}
+	return s
+}
+
+// firstSubjects is a short list of what an alert concerns.
+func firstSubjects(subjects []string) string {
+	const most = 8
+	if n := len(subjects) - most; n > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(subjects[:most], ", "), n)
+	}
+	return strings.Join(subjects, ", ")
+}
+
+// page is what every template gets.
+type page struct {
+	Title    string
+	Daemon   string
+	Operator string
+	Token    string
+	At       time.Time
+	Refresh  int // seconds, zero for never
+	Body     any
+}
+
+func (a *Admin) registerPage(r *mux.Router) {
+	r.Use(pageHeaders)
+	r.HandleFunc("/style.css", serveStyle).Methods(http.MethodGet)
+	r.HandleFunc("/login", a.loginForm).Methods(http.MethodGet)
+	r.Handle("/login", a.sameOrigin(http.HandlerFunc(a.login))).Methods(http.MethodPost)
+	r.Handle("/logout", a.sameOrigin(http.HandlerFunc(a.logout))).Methods(http.MethodPost)
+	r.HandleFunc("", a.session(a.home)).Methods(http.MethodGet)
+	r.HandleFunc("/", a.session(a.home)).Methods(http.MethodGet)
+	r.HandleFunc("/team/{team}", a.session(a.team)).Methods(http.MethodGet)
+	r.HandleFunc("/servers", a.session(a.serverList)).Methods(http.MethodGet)
+	r.HandleFunc("/audit", a.session(a.audit)).Methods(http.MethodGet)
+	r.HandleFunc("/confirm/{action}", a.session(a.confirm)).Methods(http.MethodGet)
+	r.Handle("/do/{action}", a.sameOrigin(a.session(a.act))).Methods(http.MethodPost)
+}
+
+// pageHeaders forbids scripts, foreign content and framing, and keeps pages out of caches.
+func pageHeaders(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set("Content-Security-Policy", "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
+		h.Set("X-Content-Type-Options", "nosniff")
+		h.Set("Referrer-Policy", "same-origin")
+		h.Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *Admin) sameOrigin(next http.Handler) http.Handler { return a.crossOrigin.Handler(next) }
+
+func serveStyle(w http.ResponseWriter, _ *http.Request) {
+	b, err := pageFiles.ReadFile("pages/style.css")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/css; charset=utf-8")
+	w.Write(b)
+}
+
+// session is a page that needs an operator. p is filled in as far as it goes for every page.
+func (a *Admin) session(show func(w http.ResponseWriter, r *http.Request, p page)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := r.Cookie(cookieName)
+		if err != nil {
+			http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
+			return
+		}
+		operator, ok := a.Config.Snapshot().Operator(c.Value)
+		if !ok {
+			a.clearCookie(w)
+			http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
+			return
+		}
+		show(w, r, page{Daemon: a.Daemon, Operator: operator, Token: formToken(c.Value), At: a.Now()})
+	}
+}
+
+// formToken proves that a form was made for the operator of that key.
+func formToken(key string) string {
+	mac := hmac.New(sha256.New, []byte(key))
+	mac.Write([]byte("ibiscrank form"))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func (a *Admin) render(w http.ResponseWriter, status int, name string, p page) {
+	var b bytes.Buffer
+	if err := pages.ExecuteTemplate(&b, name, p); err != nil {
+		log.WithFields(log.Fields{"page": name, "error": err}).Error("PageFailed")
+		http.Error(w, "the page could not be made", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.WriteHeader(status)
+	w.Write(b.Bytes())
+}
+
+func (a *Admin) loginForm(w http.ResponseWriter, _ *http.Request) {
+	a.render(w, http.StatusOK, "login.html", page{Title: "Log in", Daemon: a.Daemon, At: a.Now(), Body: ""})
+}
+
+func (a *Admin) login(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
+	key := strings.TrimSpace(r.PostFormValue("key"))
+	operator, ok := a.Config.Snapshot().Operator(key)
+	if !ok {
+		a.render(w, http.StatusUnauthorized, "login.html", page{Title: "Log in", Daemon: a.Daemon, At: a.Now(), Body: "This key is not in force."})
+		return
+	}
+	log.WithFields(log.Fields{"operator": operator}).Info("OperatorLogin")
+	a.setCookie(w, key, sessionSeconds, r.TLS != nil)
+	http.Redirect(w, r, "/ops", http.StatusSeeOther)
+}
+
+func (a *Admin) logout(w http.ResponseWriter, r *http.Request) {
+	a.clearCookie(w)
+	http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
+}
+
+func (a *Admin) clearCookie(w http.ResponseWriter) { a.setCookie(w, "", -1, false) }
+
+func (a *Admin) setCookie(w http.ResponseWriter, value string, maxAge int, secure bool) {
+	http.SetCookie(w, &http.Cookie{
+		Name: cookieName, Value: value, Path: "/ops", MaxAge: maxAge,
+		HttpOnly: true, Secure: secure, SameSite: http.SameSiteStrictMode,
+	})
+}
+
+// teamRow is one team on the page.
+type teamRow struct {
+	TeamLoad
+	Weight   float64
+	LimitUse float64
+	Known    bool // the fleet has reported it
+}
+
+// asideServer is one backend server that gets no new work.
+type asideServer struct {
+	Name       string
+	Reason     string
+	ByOperator bool
+}
+
+// homeBody is the body of the first page.
+type homeBody struct {
+	View
+	Teams  []teamRow
+	Aside  []asideServer
+	More   int // servers set aside that are not listed
+	Counts map[ServerState]int
+	Worst  []ibisburn.Line
+}
+
+func (a *Admin) home(w http.ResponseWriter, r *http.Request, p page) {
+	v := a.view(r.Context())
+	b := homeBody{View: v, Teams: teamRows(v), Worst: v.Burn.Worst(maxWorst), Counts: make(map[ServerState]int)}
+	for _, s := range v.Overview.Servers {
+		b.Counts[s.State]++
+	}
+	b.Aside = asideServers(v)
+	if n := len(b.Aside) - maxListed; n > 0 {
+		b.Aside, b.More = b.Aside[:maxListed], n
+	}
+	const refreshSeconds = 20
+	p.Title, p.Refresh, p.Body = "Fleet", refreshSeconds, b
+	a.render(w, http.StatusOK, "home.html", p)
+}
+
+func teamRows(v View) []teamRow {
+	loads := make(map[string]TeamLoad)
+	for _, t := range v.Overview.Teams {
+		loads[t.Name] = t
+	}
+	var rows []teamRow
+	for _, name := range slices.Sorted(maps.Keys(v.Config.Teams)) {
+		load, known := loads[name]
+		if !known {
+			load = TeamLoad{Name: name, UpperLimit: v.Config.Teams[name].UpperLimit}
+		}
+		rows = append(rows, teamRow{TeamLoad: load, Weight: v.Config.Teams[name].Share, LimitUse: load.limitUse(), Known: known})
+	}
+	return rows
+}
+
+// asideServers joins what operators set aside with what daemons did.
+func asideServers(v View) []asideServer {
+	var list []asideServer
+	for _, name := range slices.Sorted(maps.Keys(v.Config.SetAside)) {
+		list = append(list, asideServer{Name: name, Reason: v.Config.SetAside[name], ByOperator: true})
+	}
+	for _, s := range v.Overview.Servers {
+		if _, ok := v.Config.SetAside[s.Name]; s.SetAside && !ok {
+			list = append(list, asideServer{Name: s.Name, Reason: s.Reason, ByOperator: s.ByOperator})
+		}
+	}
+	return list
+}
+
+// teamBody is the body of the page of one team.
+type teamBody struct {
+	Team ibisconfig.Team
+	Row  teamRow
+	Burn []ibisburn.Line
+}
+
+func (a *Admin) team(w http.ResponseWriter, r *http.Request, p page) {
+	v := a.view(r.Context())
+	t, ok := v.Config.Teams[mux.Vars(r)["team"]]
+	if !ok {
+		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeNotFound, "there is no team %s", mux.Vars(r)["team"]))
+		return
+	}
+	b := teamBody{Team: t}
+	for _, row := range teamRows(v) {
+		if row.Name == t.Name {
+			b.Row = row
+		}
+	}
+	for _, l := range v.Burn.Lines {
+		if l.Team == t.Name {
+			b.Burn = append(b.Burn, l)
+		}
+	}
+	p.Title, p.Body = t.Name, b
+	a.render(w, http.StatusOK, "team.html", p)
+}
+
+// serversBody is the body of the list of backend servers.
+type serversBody struct {
+	Filter  string
+	Servers []BackendServer
+	Total   int
+}
+
+func (a *Admin) serverList(w http.ResponseWriter, r *http.Request, p page) {
+	v := a.view(r.Context())
+	b := serversBody{Filter: r.URL.Query().Get("filter")}
+	for _, s := range v.Overview.Servers {
+		text := strings.Join([]string{s.Name, s.FailureDomain, s.Rack, string(s.State)}, " ")
+		if strings.Contains(strings.ToLower(text), strings.ToLower(b.Filter)) {
+			b.Total++
+			if len(b.Servers) < maxListed {
+				b.Servers = append(b.Servers, s)
+			}
+		}
+	}
+	p.Title, p.Body = "Backend servers", b
+	a.render(w, http.StatusOK, "servers.html", p)
+}
+
+func (a *Admin) audit(w http.ResponseWriter, r *http.Request, p page) {
+	entries, err := a.Config.Audit(r.Context(), auditOnPage)
+	if err != nil {
+		a.fail(w, p, err)
+		return
+	}
+	p.Title, p.Body = "Changes", entries
+	a.render(w, http.StatusOK, "audit.html", p)
+}
+
+// outcome is the body of the page after an action.
+type outcome struct {
+	OK      bool
+	Message string
+	Advice  string
+}
+
+func (a *Admin) fail(w http.ResponseWriter, p page, err error) {
+	refusal := refusalOf(err)
+	p.Title, p.Body = "Not done", outcome{Message: refusal.Message, Advice: advice[refusal.Code]}
+	a.render(w, refusal.status(), "outcome.html", p)
+}
+
+// advice says what an operator can do after a refusal.
+var advice = map[ibiswork.Code]string{
+	ibiswork.CodeStale:            "Someone changed it meanwhile. Look again and repeat if it is still right.",
+	ibiswork.CodeOutcomeUnknown:   "It may or may not have been done. Load this page again: the same action is not done twice.",
+	ibiswork.CodeStoreUnavailable: "Nothing was done. The table service is away; load this page again in a moment.",
+	ibiswork.CodeForbidden:        "Nothing was done. Go back and begin again.",
+	ibiswork.CodeNotFound:         "Nothing was done. It may be done already.",
+}
--- /dev/null
+++ b/ibisadmin/refusal.go
@@ -0,0 +1,87 @@
+package ibisadmin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibiswork"
+)
+
+// storeRetryAfter is when a client may come back while the store is away.
+const storeRetryAfter = 2 * time.Second
+
+// Refusal is the answer to a request of an operator that was refused. For a stale change, Stale tells
+// what changed meanwhile.
+type Refusal struct {
+	ibiswork.Refusal
+	Stale *ibisconfig.StaleError `json:"Stale,omitempty"`
+}
+
+// Unwrap finds the plain refusal.
+func (r *Refusal) Unwrap() error { return &r.Refusal }
+
+// refusalOf turns an error of the configuration into a refusal.
+func refusalOf(err error) *Refusal {
+	if r, ok := errors.AsType[*ibiswork.Refusal](err); ok {
+		return &Refusal{Refusal: *r}
+	}
+	refuse := func(code ibiswork.Code) *Refusal { return &Refusal{Refusal: *ibiswork.Refuse(code, "%v", err)} }
+	switch {
+	case ibisconfig.Stale.Has(err):
+		r := refuse(ibiswork.CodeStale)
+		r.Stale, _ = errors.AsType[*ibisconfig.StaleError](err)
+		return r
+	case ibisconfig.Invalid.Has(err):
+		return refuse(ibiswork.CodeBadRequest)
+	case ibisconfig.Reused.Has(err):
+		return refuse(ibiswork.CodeConflict)
+	case ibisconfig.NotFound.Has(err):
+		return refuse(ibiswork.CodeNotFound)
+	case ibisconfig.Unknown.Has(err):
+		r := refuse(ibiswork.CodeOutcomeUnknown)
+		return &Refusal{Refusal: *r.WithMaybeRun().WithRetryAfter(storeRetryAfter)}
+	case ibisconfig.Unavailable.Has(err):
+		r := refuse(ibiswork.CodeStoreUnavailable)
+		return &Refusal{Refusal: *r.WithRetryAfter(storeRetryAfter)}
+	}
+	return &Refusal{Refusal: *ibiswork.AsRefusal(err)}
+}
+
+var statuses = map[ibiswork.Code]int{
+	ibiswork.CodeBadRequest:       http.StatusBadRequest,
+	ibiswork.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	ibiswork.CodeUnauthorized:     http.StatusUnauthorized,
+	ibiswork.CodeForbidden:        http.StatusForbidden,
+	ibiswork.CodeNotFound:         http.StatusNotFound,
+	ibiswork.CodeConflict:         http.StatusConflict,
+	ibiswork.CodeStale:            http.StatusConflict,
+	ibiswork.CodeOutcomeUnknown:   http.StatusServiceUnavailable,
+	ibiswork.CodeStoreUnavailable: http.StatusServiceUnavailable,
+	ibiswork.CodeUnreachable:      http.StatusServiceUnavailable,
+}
+
+func (r *Refusal) status() int {
+	if s, ok := statuses[r.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+func writeRefusal(w http.ResponseWriter, r *Refusal) {
+	if r.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((r.RetryAfterMS+999)/1000, 10))
+	}
+	writeJSON(w, r.status(), r)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
