--- a/ibisjournal/journal.go
+++ b/ibisjournal/journal.go
@@ -129,6 +129,7 @@
 		firstPause:   DefaultFirstPause,
 		longestPause: DefaultLongestPause,
 		wake:         make(chan struct{}, 1),
+		ring:         ring{least: minRows},
 	}
 	for _, o := range opts {
 		o(j)
--- /dev/null
+++ b/ibisjournal/property_test.go
@@ -0,0 +1,113 @@
+package ibisjournal
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibistable"
+	"ibiscrank/ibistablefake"
+	"ibiscrank/ibiswork"
+)
+
+// model is what Read may return of each request: the last body whose Append returned nil, or one of
+// those whose outcome the caller does not know.
+type model struct {
+	acked map[ibiswork.ID]string
+	maybe map[ibiswork.ID][]string
+}
+
+func (m *model) append(r Record, err error) bool {
+	switch {
+	case err == nil:
+		m.acked[r.Request], m.maybe[r.Request] = string(r.Body), nil
+	case Unknown.Has(err):
+		m.maybe[r.Request] = append(m.maybe[r.Request], string(r.Body))
+	default:
+		return Unavailable.Has(err)
+	}
+	return true
+}
+
+func (m *model) check(t *rapid.T, records []Record) {
+	got := make(map[ibiswork.ID]string)
+	for _, r := range records {
+		got[r.Request] = string(r.Body)
+		if _, ok := m.acked[r.Request]; !ok && len(m.maybe[r.Request]) == 0 {
+			t.Fatalf("%s was never appended", r.Request)
+		}
+	}
+	for id, maybe := range m.maybe {
+		if _, ok := m.acked[id]; !ok {
+			m.acked[id] = ""
+		}
+		if got[id] != m.acked[id] && !slices.Contains(maybe, got[id]) {
+			t.Fatalf("%s is %q, neither %q nor one of %q", id, got[id], m.acked[id], maybe)
+		}
+	}
+	for id, body := range m.acked {
+		if len(m.maybe[id]) == 0 && got[id] != body {
+			t.Fatalf("%s is %q, not %q", id, got[id], body)
+		}
+	}
+}
+
+// TestReadAfterCrash appends under lost replies, late writes and outages, stops the writer at any point,
+// and compares what another incarnation reads with what Append returned.
+func TestReadAfterCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		table := ibistablefake.New()
+		j, stop := open(t, table, WithMaxBatchBytes(rapid.IntRange(80, 600).Draw(t, "batch")))
+		defer stop()
+		j.ring.least = rapid.IntRange(1, 4).Draw(t, "rows")
+		m := &model{acked: make(map[ibiswork.ID]string), maybe: make(map[ibiswork.ID][]string)}
+		fault := rapid.SampledFrom([]ibistablefake.Fault{
+			ibistablefake.None, ibistablefake.Refused, ibistablefake.LostRequest, ibistablefake.LostReply,
+			ibistablefake.Late, ibistablefake.Contended,
+		})
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			actx, cancel := context.WithCancel(ctx)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				table.Inject(rapid.SliceOfN(fault, 1, 3).Draw(t, "faults")...)
+			case 1:
+				table.ApplyLate()
+			case 2: // the write goes into an outage and its caller leaves
+				f := fault.Draw(t, "last")
+				table.Hook(func([]ibistable.Write) ibistablefake.Fault {
+					table.Hook(nil)
+					cancel()
+					return f
+				})
+			case 3:
+				table.SetDown(true)
+			case 4:
+				table.SetDown(false)
+			}
+			r := record(rapid.IntRange(0, 9).Draw(t, "request"), fmt.Sprintf("body %d %0*d", i, rapid.IntRange(1, 90).Draw(t, "size"), 0))
+			if rapid.IntRange(0, 2).Draw(t, "forget") == 0 {
+				r.Body = nil
+			}
+			if err := j.Append(actx, r); !m.append(r, err) {
+				t.Fatalf("%v", err)
+			}
+			cancel()
+		}
+		stop()
+		table.Heal()
+		if err := ibisincarnation.Revoke(ctx, table, "i-1", "test"); err != nil {
+			t.Fatalf("%v", err)
+		}
+		table.ApplyLate()
+		records, err := Read(ctx, table, "i-1")
+		if err != nil {
+			t.Fatalf("%v", err)
+		}
+		m.check(t, records)
+	})
+}
--- a/ibisjournal/ring.go
+++ b/ibisjournal/ring.go
@@ -25,6 +25,7 @@
 // ring is what the journal knows of its rows. Rows are overwritten oldest first: so when a row goes that
 // forgets or replaces a record, every row with the older record has gone before it.
 type ring struct {
+	least int     // rows that are never too many
 	rows  []*slot // oldest first
 	index map[ibiswork.ID]*slot
 	bytes int // of all rows
@@ -32,7 +33,7 @@
 }
 
 // full reports whether the ring has as many rows as its live records justify.
-func (g *ring) full() bool { return len(g.rows) >= minRows+g.size/rowLiveFor }
+func (g *ring) full() bool { return len(g.rows) >= g.least+g.size/rowLiveFor }
 
 // next chooses the row to overwrite, or nil when the next write adds a row. The write keeps what carry
 // returns for the row. Batches have at most limit bytes.
--- a/ibistablefake/table.go
+++ b/ibistablefake/table.go
@@ -60,6 +60,13 @@
 	t.faults = append(t.faults, faults...)
 }
 
+// Heal ends the outage and drops all faults that have not happened yet. What Late holds back stays.
+func (t *Table) Heal() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down, t.faults, t.hook = false, nil, nil
+}
+
 // Hook sets a function that chooses the fault of each Commit that Inject says nothing about. It is called
 // without locks held.
 func (t *Table) Hook(f func(writes []ibistable.Write) Fault) {
@@ -141,11 +148,14 @@
 
 // Commit implements ibistable.Table.
 func (t *Table) Commit(ctx context.Context, writes ...ibistable.Write) (int64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, ibistable.Unavailable.Wrap(err)
+	}
 	fault := t.nextFault(writes)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if err := t.unavailable(ctx); err != nil {
-		return 0, err
+	if t.down {
+		return 0, ibistable.Unavailable.New("down")
 	}
 	switch fault {
 	case Refused:
