Wire the whole path: holders of shards, owners of backend servers, heartbeats, the daemon

A request now goes from any daemon's gate to the holder of its shard, to an owner with room, to a backend server and back, as separate processes.

--- a/cmd/ibiscrank/serve.go
+++ b/cmd/ibiscrank/serve.go
@@ -1,7 +1,36 @@
 package main
 
-// serveCmd is the command serve.
-type serveCmd struct{}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+
+	"ibiscrank/ibisdaemon"
+	"ibiscrank/ibissettings"
+)
+
+// serveCmd runs the daemon until it is told to end; it then drains.
+type serveCmd struct {
+	Settings string `arg:"" type:"existingfile" help:"The daemon's settings file."`
+}
 
 // Run runs the command.
-func (c *serveCmd) Run() error { return errNotBuilt }
+func (c *serveCmd) Run() error {
+	s, err := ibissettings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	log.SetHandler(logfmt.New(os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return ibisdaemon.Run(ctx, s)
+}
--- a/ibisdaemon/frontend.go
+++ b/ibisdaemon/frontend.go
@@ -108,7 +108,10 @@
 	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	if err := f.http.Shutdown(closeCtx); err != nil {
-		f.http.Close()
+		log.WithField("error", err).Warn("ConnectionsCutOff")
+		if err := f.http.Close(); err != nil {
+			log.WithField("error", err).Debug("ListenerNotClosed")
+		}
 	}
 	f.rpc.Stop()
 	return nil
--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -48,7 +48,6 @@
 	loopQueue         = 4096
 	OrphanRenewal     = 60 * time.Second // an owner without any news renews no longer than this
 	driftMargin       = 1 * time.Second
-	maxRoundsPerEvent = 1
 )
 
 // Ledger holds this daemon's allotments of the teams' upper limits.
@@ -99,7 +98,6 @@
 	epochs   []int64 // highest known of each shard
 	outbox   map[ibisserver.TaskID]*outgoing
 	draining bool
-	refused  map[string]int // servers' tasks since the last log line
 	started  metrics.Meter
 	wake     chan struct{}
 }
--- a/ibisowner/place.go
+++ b/ibisowner/place.go
@@ -38,7 +38,6 @@
 	placed    chan struct{} // closed when it has places or was dropped
 	refusal   *ibiswork.Refusal
 	dropped   bool
-	noted     bool
 }
 
 // Place queues one attempt at a request, and waits for places.
--- a/ibisowner/report.go
+++ b/ibisowner/report.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibisserver"
 	"ibiscrank/ibiswire"
@@ -137,7 +139,12 @@
 	}
 	ids := s.forgets
 	s.forgets = nil
-	go o.control(s, ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Forget, Tasks: ids})
+	req := ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Forget, Tasks: ids}
+	go func() {
+		if _, err := o.control(s, req); err != nil {
+			log.WithFields(log.Fields{"server": s.vm.Name, "error": err}).Debug("RecordsNotForgotten")
+		}
+	}()
 }
 
 // control sends one action and reports whether the server has applied it.
--- a/ibispeer/peers.go
+++ b/ibispeer/peers.go
@@ -73,6 +73,8 @@
 	Learned func(Member, []ibisconfig.KeyHash) // a heartbeat came from this member
 	Changed func(*View)                        // the set of members changed
 	Revoked func()                             // this incarnation was revoked
+	// StoreNews is the time of the last read of the configuration from the store.
+	StoreNews func() time.Time
 }
 
 // Peers keeps the view.
@@ -87,7 +89,6 @@
 	storeAt time.Time
 	known   bool
 	seq     int64
-	beatVer int64
 	rand    *rand.Rand
 	wg      sync.WaitGroup
 }
