Add the operators' client and the commands team, key, config, server and report

Cause: operators work on the command line as well as on the page.

Change: ibisclient.Admin repeats a change under one ID at another daemon until an answer comes; what no daemon answered is OutcomeUnknown, not a refusal that promises anything. The key of a team is made by the client and only its hash is sent, so a lost reply does not lose the key. team share and team limit change the version that they read, so a race is refused with what changed.

--- a/cmd/ibiscrank/key.go
+++ b/cmd/ibiscrank/key.go
@@ -1,7 +1,107 @@
 package main
 
+import (
+	"context"
+
+	"ibiscrank/ibisadmin"
+	"ibiscrank/ibisclient"
+	"ibiscrank/ibisconfig"
+)
+
 // keyCmd is the command key.
-type keyCmd struct{}
+type keyCmd struct {
+	Issue            keyIssueCmd            `cmd:"" help:"Make a key for a team and show it once."`
+	Withdraw         keyWithdrawCmd         `cmd:"" help:"Withdraw a key of a team."`
+	List             keyListCmd             `cmd:"" help:"List the names of the keys of a team."`
+	Operator         keyOperatorCmd         `cmd:"" help:"Create an operator, or replace an operator's key, and show it once."`
+	WithdrawOperator keyWithdrawOperatorCmd `cmd:"" help:"Remove an operator with the key."`
+	Hash             keyHashCmd             `cmd:"" help:"Make the first operator's key and its hash for the settings, without a daemon."`
+}
+
+// issuedKey is what a command prints once a key is in force.
+type issuedKey struct {
+	Key  string             `json:"Key"`
+	Hash ibisconfig.KeyHash `json:"Hash"`
+	ibisadmin.ChangeReply
+}
+
+func issued(key string, reply ibisadmin.ChangeReply) issuedKey {
+	reply.Key = ""
+	return issuedKey{Key: key, Hash: ibisconfig.HashKey(key), ChangeReply: reply}
+}
+
+type keyIssueCmd struct {
+	operatorFlags `embed:""`
+	Team          string `arg:"" help:"Name of the team."`
+	Name          string `arg:"" help:"Name of the key, not secret."`
+}
+
+// Run issues the key.
+func (c *keyIssueCmd) Run() error {
+	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (issuedKey, error) {
+		key, reply, err := a.IssueKey(ctx, "", c.Team, c.Name)
+		return issued(key, reply), err
+	})
+}
+
+type keyWithdrawCmd struct {
+	changeFlags `embed:""`
+	Team        string `arg:"" help:"Name of the team."`
+	Name        string `arg:"" help:"Name of the key."`
+}
+
+// Run withdraws the key.
+func (c *keyWithdrawCmd) Run() error {
+	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (ibisadmin.ChangeReply, error) {
+		return a.WithdrawKey(ctx, c.ChangeID, c.Team, c.Name)
+	})
+}
+
+type keyListCmd struct {
+	operatorFlags `embed:""`
+	Team          string `arg:"" help:"Name of the team."`
+}
+
+// Run lists the names of the keys.
+func (c *keyListCmd) Run() error {
+	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) ([]string, error) {
+		t, err := a.Team(ctx, c.Team)
+		names := make([]string, len(t.Keys))
+		for i, k := range t.Keys {
+			names[i] = k.Name
+		}
+		return names, err
+	})
+}
+
+type keyOperatorCmd struct {
+	operatorFlags `embed:""`
+	Name          string `arg:"" help:"Name of the operator."`
+}
+
+// Run makes the operator's key.
+func (c *keyOperatorCmd) Run() error {
+	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (issuedKey, error) {
+		key, reply, err := a.PutOperator(ctx, "", c.Name)
+		return issued(key, reply), err
+	})
+}
+
+type keyWithdrawOperatorCmd struct {
+	changeFlags `embed:""`
+	Name        string `arg:"" help:"Name of the operator."`
+}
+
+// Run removes the operator.
+func (c *keyWithdrawOperatorCmd) Run() error {
+	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (ibisadmin.ChangeReply, error) {
+		return a.DeleteOperator(ctx, c.ChangeID, c.Name)
+	})
+}
+
+type keyHashCmd struct{}
 
-// Run runs the command.
-func (c *keyCmd) Run() error { return errNotBuilt }
+// Run prints a new key and its hash.
+func (c *keyHashCmd) Run() error {
+	return printJSON(issued(ibisconfig.NewKey(), ibisadmin.ChangeReply{}))
+}
--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -18,6 +18,7 @@
 	Team          teamCmd          `cmd:"" help:"Create, change and list teams."`
 	Key           keyCmd           `cmd:"" help:"Issue, withdraw and list keys."`
 	Config        configCmd        `cmd:"" help:"Show the configuration and its audit list."`
+	Server        serverCmd        `cmd:"" help:"Set backend servers aside and return them."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Ask a new team about its work and generate its configuration."`
 	Report        reportCmd        `cmd:"" help:"Report service-level burn and the state of the fleet."`
 	Load          loadCmd          `cmd:"" help:"Generate an open-loop load and print what came of it."`
--- a/cmd/ibiscrank/report.go
+++ b/cmd/ibiscrank/report.go
@@ -1,7 +1,78 @@
 package main
 
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"ibiscrank/ibisadmin"
+	"ibiscrank/ibisburn"
+	"ibiscrank/ibisclient"
+)
+
 // reportCmd is the command report.
-type reportCmd struct{}
+type reportCmd struct {
+	operatorFlags `embed:""`
+	JSON          bool `name:"json" help:"Print JSON."`
+	Burn          bool `help:"Only service-level burn, without the state of the fleet."`
+}
+
+// fullReport is what the command prints as JSON.
+type fullReport struct {
+	Burn     ibisburn.Report     `json:"Burn"`
+	Overview *ibisadmin.Overview `json:"Overview,omitempty"`
+}
+
+// Run prints the report.
+func (c *reportCmd) Run() error {
+	r, err := within(c.operatorFlags, c.collect)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(r)
+	}
+	if r.Overview != nil {
+		writeOverview(os.Stdout, *r.Overview)
+	}
+	return r.Burn.WriteTable(os.Stdout)
+}
+
+func (c *reportCmd) collect(ctx context.Context, a *ibisclient.Admin) (fullReport, error) {
+	burn, err := a.Burn(ctx)
+	if err != nil || c.Burn {
+		return fullReport{Burn: burn}, err
+	}
+	o, err := a.Overview(ctx)
+	return fullReport{Burn: burn, Overview: &o}, err
+}
 
-// Run runs the command.
-func (c *reportCmd) Run() error { return errNotBuilt }
+// writeOverview prints what is wrong, then teams, daemons and the store.
+func writeOverview(w io.Writer, o ibisadmin.Overview) {
+	for _, a := range o.Alerts {
+		fmt.Fprintf(w, "%s: %s: %s\n  %s\n  Do: %s\n", a.Severity, a.Name, strings.Join(a.Subjects, ", "), a.Wrong, a.Do)
+	}
+	if len(o.Alerts) == 0 {
+		fmt.Fprintln(w, "Nothing is wrong.")
+	}
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "\nTEAM\tRUNNING\tQUEUED\tSHARE\tDESERVED\tLIMIT USED")
+	for _, t := range o.Teams {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%.0f%%\t%.0f%%\t%.0f%%\n", t.Name, t.RunningTasks, t.Queued, 100*t.Share, 100*t.DeservedShare, 100*t.Running.Dominant(t.UpperLimit))
+	}
+	fmt.Fprintln(tw, "\nDAEMON\tADDRESS\tDOMAIN\tSTATE\tANSWERS\tCONFIG")
+	for _, d := range o.Daemons {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%v\t%d\n", d.Incarnation, d.Address, d.FailureDomain, d.State, d.Answers, d.ConfigVersion)
+	}
+	tw.Flush()
+	aside := 0
+	for _, s := range o.Servers {
+		if s.SetAside {
+			aside++
+		}
+	}
+	fmt.Fprintf(w, "\n%d backend servers, %d set aside. Store reachable: %v, %.1f ms, %.1f writes/s\n\n", len(o.Servers), aside, o.Store.Reachable, o.Store.LatencyMS, o.Store.WritesPerSecond)
+}
--- /dev/null
+++ b/ibisclient/admin_test.go
@@ -0,0 +1,113 @@
+package ibisclient
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisadmin"
+	"ibiscrank/ibisburn"
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibistablefake"
+	"ibiscrank/ibiswork"
+)
+
+const operatorKey = "ibk-first-operator"
+
+// quietFleet is a fleet without news.
+type quietFleet struct{ store *ibisconfig.Store }
+
+func (quietFleet) Overview(context.Context) (ibisadmin.Overview, error) {
+	return ibisadmin.Overview{}, nil
+}
+func (quietFleet) CancelQueue(context.Context, string) (int, error) { return 3, nil }
+func (f quietFleet) Withdraw(_ context.Context, h ibisconfig.KeyHash) error {
+	f.store.Deny(h)
+	return nil
+}
+func (quietFleet) Collect(context.Context) ([]ibisburn.Part, []string) {
+	return nil, []string{"i-2"}
+}
+
+// adminDaemon serves operators over table. While lose is above zero, it acts on a request and cuts the
+// connection instead of answering.
+func adminDaemon(t *testing.T, table *ibistablefake.Table) (address string, store *ibisconfig.Store, lose *atomic.Int64) {
+	t.Helper()
+	log.SetHandler(discard.New())
+	store = ibisconfig.NewStore(table).WithBootstrap(ibisconfig.HashKey(operatorKey))
+	assert.NilError(t, store.Poll(t.Context()))
+	f := quietFleet{store}
+	admin, err := ibisadmin.New(ibisadmin.Deps{Config: store, Withdrawer: f, Fleet: f, Queues: f, Burn: f})
+	assert.NilError(t, err)
+	r := mux.NewRouter()
+	admin.Register(r)
+	lose = new(atomic.Int64)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if lose.Add(-1) >= 0 {
+			r.ServeHTTP(httptest.NewRecorder(), req)
+			panic(http.ErrAbortHandler)
+		}
+		r.ServeHTTP(w, req)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL, store, lose
+}
+
+func TestAdminRepeatsAfterALostReply(t *testing.T) {
+	table := ibistablefake.New()
+	first, _, lose := adminDaemon(t, table)
+	second, store, _ := adminDaemon(t, table)
+	a := NewAdmin([]string{first, second}, operatorKey)
+	team := ibisconfig.Team{Name: "tuul-floor", Share: 2}
+
+	lose.Store(1)
+	reply, err := a.PutTeam(t.Context(), "", 0, team)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Repeated)
+	lose.Store(1)
+	key, reply, err := a.IssueKey(t.Context(), "", "tuul-floor", "mill")
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Repeated)
+	name, ok := store.Snapshot().Authenticate(key)
+	assert.Assert(t, ok && name == "tuul-floor")
+	_, err = a.WithdrawKey(t.Context(), "", "tuul-floor", "mill")
+	assert.NilError(t, err)
+
+	entries, err := a.Audit(t.Context(), 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 3, "a change took effect twice")
+}
+
+func TestAdminTellsWhatChanged(t *testing.T) {
+	address, _, _ := adminDaemon(t, ibistablefake.New())
+	a := NewAdmin([]string{address}, operatorKey)
+	_, err := a.PutTeam(t.Context(), "", 0, ibisconfig.Team{Name: "tuul-floor", Share: 2})
+	assert.NilError(t, err)
+	_, err = a.PutTeam(t.Context(), "", 0, ibisconfig.Team{Name: "tuul-floor", Share: 5})
+	refusal, ok := err.(*ibisadmin.Refusal)
+	assert.Assert(t, ok, "%v", err)
+	assert.Equal(t, refusal.Code, ibiswork.CodeStale)
+	assert.Equal(t, refusal.Stale.Team.Share, 2.0)
+
+	_, err = NewAdmin([]string{address}, "wrong").Config(t.Context())
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeUnauthorized)
+	r, err := a.Burn(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, !r.Complete)
+}
+
+func TestAdminPromisesNothingWhenNoDaemonAnswered(t *testing.T) {
+	address, _, lose := adminDaemon(t, ibistablefake.New())
+	lose.Store(adminAttempts)
+	_, err := NewAdmin([]string{address}, operatorKey).SetAside(t.Context(), "", "s-1", "smoke")
+	refusal := ibiswork.AsRefusal(err)
+	assert.Equal(t, refusal.Code, ibiswork.CodeOutcomeUnknown)
+	assert.Assert(t, !refusal.NotRun)
+}
