--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -39,15 +39,15 @@
 
 // Times and bounds of an owner.
 const (
-	StartWindow       = 2 * time.Second  // from a clock reading to the latest start
-	ReserveFor        = 10 * time.Second // a reservation whose start has not come
-	startTimeout      = 1500 * time.Millisecond
-	startTries        = 3
-	closedFor         = 2 * time.Minute
-	tickInterval      = 100 * time.Millisecond
-	loopQueue         = 4096
-	OrphanRenewal     = 60 * time.Second // an owner without any news renews no longer than this
-	driftMargin       = 1 * time.Second
+	StartWindow   = 2 * time.Second  // from a clock reading to the latest start
+	ReserveFor    = 10 * time.Second // a reservation whose start has not come
+	startTimeout  = 1500 * time.Millisecond
+	startTries    = 3
+	closedFor     = 2 * time.Minute
+	tickInterval  = 100 * time.Millisecond
+	loopQueue     = 4096
+	OrphanRenewal = 60 * time.Second // an owner without any news renews no longer than this
+	driftMargin   = 1 * time.Second
 )
 
 // Ledger holds this daemon's allotments of the teams' upper limits.
