--- a/ibisadmit/admit.go
+++ b/ibisadmit/admit.go
@@ -30,8 +30,8 @@
 // Load is the state of one owner or gateway at one moment.
 type Load struct {
 	Classes  map[ibiswork.Class]ClassLoad
-	MaxQueue int // requests that may wait in all, zero for no bound
-	Free     bool
+	MaxQueue int  // requests that may wait in all, zero for no bound
+	Free     bool // there is room to start one at once
 }
 
 // Ask is the part of a request that the decision needs.
--- /dev/null
+++ b/ibisadmit/admit_test.go
@@ -0,0 +1,77 @@
+package ibisadmit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ibiscrank/ibisadmit"
+	"ibiscrank/ibiswork"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func load(waiting int, rate float64) ibisadmit.Load {
+	return ibisadmit.Load{
+		Classes:  map[ibiswork.Class]ibisadmit.ClassLoad{ibiswork.Interactive: {Waiting: waiting, Rate: rate}},
+		MaxQueue: 1000,
+	}
+}
+
+func TestDecide(t *testing.T) {
+	second := now.Add(time.Second)
+	for _, c := range []struct {
+		name  string
+		load  ibisadmit.Load
+		ask   ibisadmit.Ask
+		ok    bool
+		retry time.Duration
+	}{
+		{"idle", load(0, 0), ibisadmit.Ask{Class: ibiswork.Batch}, true, 0},
+		{"deadline can be met", load(40, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Deadline: second, RunTime: 500 * time.Millisecond}, true, 0},
+		{"deadline cannot be met", load(80, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Deadline: second, RunTime: 500 * time.Millisecond}, false, 300 * time.Millisecond},
+		{"room at once", ibisadmit.Load{Classes: load(80, 100).Classes, Free: true}, ibisadmit.Ask{Class: ibiswork.Interactive, Deadline: second, RunTime: 500 * time.Millisecond}, true, 0},
+		{"deadline has passed", load(0, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Deadline: now.Add(-1)}, false, 0},
+		{"longer than the deadline", load(0, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Deadline: second, RunTime: time.Minute}, false, 0},
+		{"batch refused at half", load(500, 100), ibisadmit.Ask{Class: ibiswork.Batch}, false, 100 * time.Millisecond},
+		{"batch refused until half", load(599, 100), ibisadmit.Ask{Class: ibiswork.Batch}, false, time.Second},
+		{"service accepted at half", load(500, 100), ibisadmit.Ask{Class: ibiswork.Service}, true, 0},
+		{"interactive accepted later", load(949, 100), ibisadmit.Ask{Class: ibiswork.Interactive}, true, 0},
+		{"interactive refused", load(950, 100), ibisadmit.Ask{Class: ibiswork.Interactive}, false, 100 * time.Millisecond},
+		{"urgent refused last", load(999, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Urgent: true}, true, 0},
+		{"full", load(1000, 100), ibisadmit.Ask{Class: ibiswork.Interactive, Urgent: true}, false, 100 * time.Millisecond},
+		{"nothing moves", load(1000, 0), ibisadmit.Ask{Class: ibiswork.Batch}, false, 30 * time.Second},
+		{"no bound", ibisadmit.Load{Classes: load(5000, 1).Classes}, ibisadmit.Ask{Class: ibiswork.Batch}, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ok, retry := ibisadmit.Decide(c.load, c.ask, now)
+			assert.Equal(t, ok, c.ok)
+			assert.Equal(t, retry, c.retry)
+		})
+	}
+}
+
+// TestOrderOfRefusal holds at any load: when a class is refused for want of room, so is every less urgent one,
+// and a refusal for want of room names a time to come back.
+func TestOrderOfRefusal(t *testing.T) {
+	order := []ibisadmit.Ask{
+		{Class: ibiswork.Interactive, Urgent: true}, {Class: ibiswork.Interactive},
+		{Class: ibiswork.Service}, {Class: ibiswork.Gang}, {Class: ibiswork.Batch},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		l := load(rapid.IntRange(0, 2000).Draw(t, "waiting"), rapid.Float64Range(0, 1e4).Draw(t, "rate"))
+		refused := false
+		for _, a := range order {
+			ok, retry := ibisadmit.Decide(l, a, now)
+			if refused && ok {
+				t.Fatalf("%+v is accepted and a more urgent one is not", a)
+			}
+			if !ok && (retry < 100*time.Millisecond || retry > 30*time.Second) {
+				t.Fatalf("come back after %v", retry)
+			}
+			refused = !ok
+		}
+	})
+}
--- a/ibisaside/guard.go
+++ b/ibisaside/guard.go
@@ -1,12 +1,13 @@
 // Package ibisaside sets aside backend servers that fail everything that is started on them.
 //
 // A server is set aside after a run of failures without a success that would be unlikely on a healthy
-// server, given how often tasks fail on the others. It comes back on probation after a time that grows
+// server, given how often tasks fail on the best quarter of the servers. When more than half fail even
+// there, the fault is in the tasks and no server is set aside. A server comes back on probation after a time that grows
 // each time. Tasks that fail meanwhile need not use up their retries (see Blame).
 //
 // Bound on the tasks that a server which fails everything takes before it is set aside: those running
-// there when its first failure is recorded, and MinRun-1 more while tasks on the other servers succeed,
-// MaxRun-1 more at most. The caller calls Start for each task that it starts, and starts no more than
+// there when its first failure is recorded, and MinRun-1 more while tasks on the best quarter of the
+// servers succeed, MaxRun-1 more while at most half of them fail there. The caller calls Start for each task that it starts, and starts no more than
 // Allowance says.
 //
 // Usage:
@@ -33,18 +34,19 @@
 	Unlimited = math.MaxInt32
 	// MinRun is the length of the run of failures that sets a server aside while the others succeed.
 	MinRun = 3
-	// MaxRun bounds the length of that run while tasks fail everywhere.
+	// MaxRun is the length of that run while half of the tasks fail on the best quarter of the servers.
 	MaxRun = 20
 	// MaxBlamed is how many failures of one task a caller should forgive because of Blame.
 	MaxBlamed = 8
 
 	firstAside    = 10 * time.Second
 	maxAside      = 10 * time.Minute
+	mostRate      = 0.5             // of failures on the best servers at which none is set aside
 	probeTimeout  = 2 * time.Minute // after which a task on probation that has not ended no longer counts
 	probationGoal = 3               // successes that end probation
 	calmAfter     = 100             // successes that take back one step of the growing time
-	chance        = 1e-3            // of setting aside a healthy server after a run of failures
-	leastRate     = 0.05            // of failures that is assumed of any server
+	chance        = 1e-6            // of setting aside a healthy server after a run of failures
+	leastRate     = 0.01            // of failures that is assumed of any server
 	rateWeight    = 0.1             // of the newest result in a server's rate of failures
 	maxAsidePart  = 3               // at most one in so many servers is set aside by itself
 )
@@ -52,8 +54,10 @@
 // Guard holds what is known of each server. The zero value knows none; all servers are healthy.
 type Guard struct {
 	servers map[string]*server
-	rates   float64 // sum of the servers' rates of failures
-	aside   int     // servers that are set aside or on probation
+	base    float64 // rate of failures on the best quarter of the servers
+	sorted  []float64
+	records int // since base was found
+	aside   int // servers that are set aside or on probation
 }
 
 type server struct {
@@ -83,7 +87,7 @@
 	switch {
 	case s.out && !now.Before(s.until):
 		g.setAside(s, now, "failed on probation")
-	case !s.out && s.run >= g.limit(s) && g.mayLose():
+	case !s.out && s.run >= g.limit() && g.mayLose():
 		g.setAside(s, now, fmt.Sprintf("failed %d tasks in a row, the last after %d ms", s.run, runMS))
 	}
 }
@@ -93,9 +97,25 @@
 	if ok {
 		v = 0
 	}
-	step := rateWeight * (v - s.rate)
-	s.rate += step
-	g.rates += step
+	s.rate += rateWeight * (v - s.rate)
+	if g.records++; g.records > len(g.servers)/4 {
+		g.records = 0
+		g.findBase()
+	}
+}
+
+// findBase finds the rate of failures that a quarter of the servers do not exceed.
+func (g *Guard) findBase() {
+	if len(g.servers) < 2 {
+		g.base = mostRate
+		return
+	}
+	g.sorted = g.sorted[:0]
+	for _, s := range g.servers {
+		g.sorted = append(g.sorted, s.rate)
+	}
+	slices.Sort(g.sorted)
+	g.base = g.sorted[(len(g.sorted)-1)/4]
 }
 
 func (g *Guard) succeeded(s *server, now time.Time) {
@@ -115,15 +135,12 @@
 	}
 }
 
-// limit is the length of the run of failures at which s is set aside.
-func (g *Guard) limit(s *server) int {
-	rate := leastRate
-	if n := len(g.servers) - 1; n > 0 {
-		rate = max(rate, (g.rates-s.rate)/float64(n))
-	}
-	if rate >= 1 {
-		return MaxRun
+// limit is the length of the run of failures at which a server is set aside.
+func (g *Guard) limit() int {
+	if g.base > mostRate {
+		return Unlimited
 	}
+	rate := max(g.base, leastRate)
 	return min(max(int(math.Ceil(math.Log(chance)/math.Log(rate))), MinRun), MaxRun)
 }
 
@@ -171,7 +188,7 @@
 	case s.out:
 		return max(1+s.passed-s.pending(now), 0)
 	case s.run > 0 && g.mayLose():
-		return max(g.limit(s)-s.run-s.pending(now), 0)
+		return max(g.limit()-s.run-s.pending(now), 0)
 	}
 	return Unlimited
 }
@@ -196,7 +213,7 @@
 // that it should not use up a retry of the task. Callers forgive at most MaxBlamed failures of one task.
 func (g *Guard) Blame(name string) bool {
 	s, ok := g.servers[name]
-	return ok && (s.out || s.run >= MinRun-1) && g.aside <= len(g.servers)/maxAsidePart+1
+	return ok && (s.out || s.run > g.limit()/2)
 }
 
 // Aside is one server that is set aside or on probation.
@@ -234,7 +251,6 @@
 	if !ok {
 		return
 	}
-	g.rates -= s.rate
 	if s.out {
 		g.aside--
 	}
