ibisquestion: generate a team's configuration from a questionnaire

Cause: a new team answers questions about its work, share and limits, and its configuration is generated.

Change: questions are data with explanation, kind, bounds and the setting that the answer yields; two trades replace words and defaults.

--- a/cmd/ibiscrank/questionnaire.go
+++ b/cmd/ibiscrank/questionnaire.go
@@ -1,7 +1,87 @@
 package main
 
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"ibiscrank/ibisadmin"
+	"ibiscrank/ibisclient"
+	"ibiscrank/ibisquestion"
+)
+
 // questionnaireCmd is the command questionnaire.
-type questionnaireCmd struct{}
+type questionnaireCmd struct {
+	changeFlags `embed:""`
+	Trade       string `help:"Ask in the words of this trade: generic, mandacaru or tuul." default:"generic"`
+	Answers     string `help:"Take the answers from this JSON file instead of the terminal." type:"existingfile" placeholder:"FILE"`
+	Out         string `help:"Write the team and the settings into this directory as <team>.json and daemon.json." type:"existingdir" placeholder:"DIR"`
+	Apply       bool   `help:"Create the team at once."`
+}
+
+// Run asks, generates the configuration and prints it, writes it or applies it.
+func (c *questionnaireCmd) Run() error {
+	g, err := c.generate()
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := c.write(g); err != nil {
+			return err
+		}
+	}
+	if c.Apply {
+		return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (ibisadmin.ChangeReply, error) {
+			return a.PutTeam(ctx, c.ChangeID, 0, g.Team)
+		})
+	}
+	if c.Out == "" {
+		return printJSON(g)
+	}
+	return nil
+}
+
+func (c *questionnaireCmd) generate() (ibisquestion.Generated, error) {
+	if c.Answers == "" {
+		set, err := ibisquestion.Load(c.Trade)
+		if err != nil {
+			return ibisquestion.Generated{}, err
+		}
+		answers, err := set.Ask(os.Stdin, os.Stderr)
+		if err != nil {
+			return ibisquestion.Generated{}, err
+		}
+		return set.Generate(answers)
+	}
+	f, err := os.Open(c.Answers)
+	if err != nil {
+		return ibisquestion.Generated{}, err
+	}
+	defer f.Close()
+	set, answers, err := ibisquestion.ReadFile(f)
+	if err != nil {
+		return ibisquestion.Generated{}, err
+	}
+	return set.Generate(answers)
+}
+
+// write puts the team, and the settings when there are any, into files.
+func (c *questionnaireCmd) write(g ibisquestion.Generated) error {
+	if err := writeFile(filepath.Join(c.Out, g.Team.Name+".json"), g.Team); err != nil {
+		return err
+	}
+	if g.Settings == nil {
+		return nil
+	}
+	return writeFile(filepath.Join(c.Out, "daemon.json"), g.Settings)
+}
 
-// Run runs the command.
-func (c *questionnaireCmd) Run() error { return errNotBuilt }
+func writeFile(name string, v any) error {
+	const mode = 0o644
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, append(b, '\n'), mode)
+}
