--- /dev/null
+++ b/ibisload/verify.go
@@ -0,0 +1,142 @@
+package ibisload
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibisstandin"
+	"ibiscrank/ibiswork"
+)
+
+// Verdict is what the history of the backend servers says of a load.
+type Verdict struct {
+	Runs        int           `json:"Runs"`                  // starts of tasks of the load
+	RunTwice    []ibiswork.ID `json:"RunTwice,omitempty"`    // not idempotent, and started more than once
+	Overlapping []ibiswork.ID `json:"Overlapping,omitempty"` // one task in two places at once
+	FalseNotRun []ibiswork.ID `json:"FalseNotRun,omitempty"` // started although refused as not run
+}
+
+// taskKey is one task of a request, whatever the attempt.
+type taskKey struct {
+	id    ibiswork.ID
+	index int
+}
+
+// span is one run of a task in wall-clock nanoseconds; end is zero while it runs.
+type span struct{ start, end int64 }
+
+// Verify compares the records of a load with the history of all backend servers. Requests that are not
+// in the records are left out.
+func Verify(records []Record, history []ibisstandin.Entry) Verdict {
+	byID := make(map[ibiswork.ID]Record, len(records))
+	for _, rec := range records {
+		byID[rec.ID] = rec
+	}
+	var v Verdict
+	bad := newFindings()
+	for key, spans := range runs(history) {
+		rec, ours := byID[key.id]
+		if !ours {
+			continue
+		}
+		v.Runs += len(spans)
+		if rec.NotRun {
+			bad.falseNotRun[key.id] = true
+		}
+		if len(spans) > 1 && !rec.Idempotent {
+			bad.runTwice[key.id] = true
+		}
+		if overlap(spans) {
+			bad.overlapping[key.id] = true
+		}
+	}
+	v.RunTwice, v.Overlapping, v.FalseNotRun = sorted(bad.runTwice), sorted(bad.overlapping), sorted(bad.falseNotRun)
+	return v
+}
+
+type findings struct{ runTwice, overlapping, falseNotRun map[ibiswork.ID]bool }
+
+func newFindings() findings {
+	return findings{map[ibiswork.ID]bool{}, map[ibiswork.ID]bool{}, map[ibiswork.ID]bool{}}
+}
+
+// runs gathers the runs of each task, in the order of their starts.
+func runs(history []ibisstandin.Entry) map[taskKey][]span {
+	type runKey struct {
+		server string
+		task   ibisserver.TaskID
+	}
+	ends := make(map[runKey]int64)
+	for _, e := range history {
+		if e.Event == ibisstandin.End {
+			ends[runKey{e.Server, e.TaskID}] = e.WallNS
+		}
+	}
+	all := make(map[taskKey][]span)
+	for _, e := range history {
+		if e.Event != ibisstandin.Start {
+			continue
+		}
+		key := taskKey{e.TaskID.Request, e.TaskID.Index}
+		all[key] = append(all[key], span{e.WallNS, ends[runKey{e.Server, e.TaskID}]})
+	}
+	for _, spans := range all {
+		sort.Slice(spans, func(i, j int) bool { return spans[i].start < spans[j].start })
+	}
+	return all
+}
+
+// overlap reports whether a run began before an earlier one had ended.
+func overlap(spans []span) bool {
+	for i := 1; i < len(spans); i++ {
+		if spans[i-1].end == 0 || spans[i].start < spans[i-1].end {
+			return true
+		}
+	}
+	return false
+}
+
+func sorted(set map[ibiswork.ID]bool) []ibiswork.ID {
+	var ids []ibiswork.ID
+	for id := range set {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].Before(ids[j]) })
+	return ids
+}
+
+// ReadHistory reads the histories that stand-ins serve, each of one backend server or of a whole fleet.
+func ReadHistory(ctx context.Context, urls ...string) ([]ibisstandin.Entry, error) {
+	var all []ibisstandin.Entry
+	for _, url := range urls {
+		entries, err := readHistory(ctx, url)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, entries...)
+	}
+	return all, nil
+}
+
+func readHistory(ctx context.Context, url string) ([]ibisstandin.Entry, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, Error.New("%s answered %s", url, resp.Status)
+	}
+	var reply ibisstandin.HistoryReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return reply.Entries, nil
+}
