--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"ibiscrank/ibisjournal"
+	"ibiscrank/ibispeer"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibiswire"
 	"ibiscrank/ibiswork"
@@ -166,6 +169,10 @@
 	}
 	last := e.owner
 	e.mu.Unlock()
+	if h.mustGather(req.Request) {
+		h.gather(ctx, e, req)
+		return
+	}
 	owner, ok := h.pick(req.Request, last)
 	if !ok {
 		pause(ctx, e, retryBase)
@@ -190,14 +197,22 @@
 	defer e.mu.Unlock()
 	switch reply.State {
 	case ibiswire.Reserved:
-		e.saved.Places = reply.Places
+		e.setPlaces(reply.Places, e.owner)
 		e.fire("Reserve")
 	case ibiswire.Started:
-		e.saved.Places = reply.Places
+		e.setPlaces(reply.Places, e.owner)
 		e.dispatched(time.Now())
 	}
 }
 
+// setPlaces records the places of the attempt, all of one owner.
+func (e *entry) setPlaces(places []ibiswire.Place, owner string) {
+	e.saved.Places = places
+	for _, p := range places {
+		e.owners[p.Index] = owner
+	}
+}
+
 // dispatched records that every task of the attempt has been started.
 func (e *entry) dispatched(now time.Time) {
 	if e.saved.WaitMS == 0 {
@@ -266,28 +281,62 @@
 func (h *Holder) start(ctx context.Context, e *entry) {
 	e.mu.Lock()
 	req := &ibiswire.StartRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
-	owner := e.owner
+	owners := e.ownerList()
 	e.mu.Unlock()
-	m, ok := h.cfg.View().Find(owner)
-	var reply *ibiswire.StartReply
-	err := error(Error.New("owner %s is not known any more", owner))
-	if ok {
-		callCtx, cancel := context.WithTimeout(ctx, startWait)
-		reply, err = ibisrpc.Call[ibiswire.StartReply](callCtx, h.cfg.Pool, m.Digest.Row.Address, ibiswire.MethodStart, req)
-		cancel()
-	}
+	started, notStarted := 0, 0
+	h.each(ctx, owners, startWait, func(ctx context.Context, addr string) {
+		reply, err := ibisrpc.Call[ibiswire.StartReply](ctx, h.cfg.Pool, addr, ibiswire.MethodStart, req)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		switch {
+		case err == nil && reply.Started:
+			started++
+		case err == nil && reply.NotStarted:
+			notStarted++
+		}
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch {
-	case err == nil && reply.Started:
+	switch len(owners) {
+	case started:
 		e.dispatched(time.Now())
-	case err == nil && reply.NotStarted:
+	case notStarted:
 		e.requeue()
 	default:
 		e.fire("Lose")
 	}
 }
 
+// ownerList lists the owners of the attempt's places once each.
+func (e *entry) ownerList() []string {
+	var list []string
+	for _, p := range e.saved.Places {
+		if id := e.owners[p.Index]; !slices.Contains(list, id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// each calls f for every owner that is known, all at once, and waits.
+func (h *Holder) each(ctx context.Context, owners []string, d time.Duration, f func(ctx context.Context, addr string)) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, id := range owners {
+		m, ok := h.cfg.View().Find(id)
+		if !ok {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx, m.Digest.Row.Address)
+		}()
+	}
+	wg.Wait()
+}
+
 // requeue closes the attempt, of which no task runs, and begins the next one.
 func (e *entry) requeue() {
 	if !e.fire("Requeue") {
@@ -296,23 +345,25 @@
 	e.saved.Attempt++
 	e.saved.Places = nil
 	e.tasks = make(map[int]ibiswire.TaskEvent)
+	e.owners = make(map[int]string)
 }
 
 // release gives up the places of e's attempt at its owner, and stops what runs there.
 func (h *Holder) release(ctx context.Context, e *entry) {
 	e.mu.Lock()
 	req := &ibiswire.ReleaseRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
-	owner := e.owner
-	e.mu.Unlock()
-	m, ok := h.cfg.View().Find(owner)
-	if !ok {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callMargin)
-	defer cancel()
-	if _, err := ibisrpc.Call[ibiswire.ReleaseReply](callCtx, h.cfg.Pool, m.Digest.Row.Address, ibiswire.MethodRelease, req); err != nil {
-		log.WithFields(log.Fields{"request": e.id, "error": err}).Debug("ReleaseFailed")
+	owners := []string{e.owner}
+	for _, id := range e.owners {
+		if !slices.Contains(owners, id) {
+			owners = append(owners, id)
+		}
 	}
+	e.mu.Unlock()
+	h.each(ctx, owners, callMargin, func(ctx context.Context, addr string) {
+		if _, err := ibisrpc.Call[ibiswire.ReleaseReply](ctx, h.cfg.Pool, addr, ibiswire.MethodRelease, req); err != nil {
+			log.WithFields(log.Fields{"request": e.id, "error": err}).Debug("ReleaseFailed")
+		}
+	})
 }
 
 func (h *Holder) from(e *entry) ibiswire.Holder {
@@ -328,12 +379,9 @@
 		}
 		e.mu.Lock()
 		cancelled := e.cancel
-		owner := e.owner
+		lost := e.ownerLost(h.cfg.View())
 		e.mu.Unlock()
-		if _, ok := h.cfg.View().Find(owner); !ok {
-			e.mu.Lock()
-			e.fire("Lose")
-			e.mu.Unlock()
+		if lost {
 			return
 		}
 		if cancelled && !stopped {
@@ -344,6 +392,21 @@
 	}
 }
 
+// ownerLost moves e to Locating when the owner of a task that runs is not known any more.
+func (e *entry) ownerLost(v *ibispeer.View) bool {
+	lost := false
+	for i := range e.saved.Request.TaskCount() {
+		if ev, ok := e.tasks[i]; ok && ev.State.Ended() {
+			continue
+		}
+		if _, ok := v.Find(e.owners[i]); !ok {
+			lost = true
+			delete(e.tasks, i) // the next owner says anew that it runs
+		}
+	}
+	return lost && e.fire("Lose")
+}
+
 // takeEvents acts on the events that have come, and reports whether the state has changed.
 func (h *Holder) takeEvents(ctx context.Context, e *entry) bool {
 	e.mu.Lock()
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -61,7 +61,8 @@
 	saved    saved
 	known    bool // the request itself is known, not only one of its tasks
 	machine  ibischart.Machine
-	owner    string // incarnation that was asked last
+	owner    string         // incarnation that was asked last
+	owners   map[int]string // incarnations of the owners of the present attempt's tasks, by index
 	tasks    map[int]ibiswire.TaskEvent
 	signal   chan struct{} // has room for one; tells the driver to look again
 	accept   chan struct{} // closed when the request has been accepted for good, or refused
@@ -80,7 +81,7 @@
 	return &entry{
 		id: r.ID, shard: sh, known: true, accepted: now, durable: r.Durable(),
 		saved:   saved{Epoch: sh.epoch, Request: r, AcceptedMS: now.UnixMilli(), Attempt: 1},
-		machine: ibischart.New(ibischart.Task), tasks: make(map[int]ibiswire.TaskEvent),
+		machine: ibischart.New(ibischart.Task), tasks: make(map[int]ibiswire.TaskEvent), owners: make(map[int]string),
 		signal: make(chan struct{}, 1), accept: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -112,7 +113,7 @@
 	}, now)
 	e.known = false
 	e.saved.Attempt = ev.Task.Attempt
-	e.owner = ev.Owner
+	e.owners[ev.Task.Index] = ev.Owner
 	e.fire("Commit")
 	e.fire("Dispatch")
 	return e
@@ -154,7 +155,7 @@
 		}
 		return ibiswire.Taken
 	}
-	e.owner = ev.Owner
+	e.owners[ev.Task.Index] = ev.Owner
 	if old, ok := e.tasks[ev.Task.Index]; !ok || !old.State.Ended() {
 		e.tasks[ev.Task.Index] = ev
 	}
--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -98,8 +98,17 @@
 	epochs   []int64 // highest known of each shard
 	outbox   map[ibisserver.TaskID]*outgoing
 	draining bool
-	started  metrics.Meter
-	wake     chan struct{}
+
+	blocked     map[string]blocked // by team
+	again       []*item            // partial items to be queued again after the round
+	inRound     bool               // the queue is being offered
+	stale       []ibiswork.ID      // dropped during the round, to be taken out of the queue after it
+	preemptedAt time.Time
+	limitedAt   time.Time
+	fleetUsed   map[string]ibiswork.Resources // by team, from digests
+
+	started metrics.Meter
+	wake    chan struct{}
 }
 
 type closedAttempt struct {
@@ -118,7 +127,7 @@
 	o := &Owner{
 		cfg: cfg, loop: loop, ctx: ctx,
 		servers: make(map[string]*server), items: make(map[ibiswork.ID]*item),
-		tasks: make(map[ibisserver.TaskID]*task), closed: make(map[ibiswork.ID]closedAttempt),
+		tasks: make(map[ibisserver.TaskID]*task), closed: make(map[ibiswork.ID]closedAttempt), blocked: make(map[string]blocked),
 		epochs: make([]int64, cfg.Shards), outbox: make(map[ibisserver.TaskID]*outgoing),
 		wake: make(chan struct{}, 1), started: metrics.NewRegisteredMeter("TasksStarted", cfg.Metrics),
 	}
@@ -176,7 +185,7 @@
 		}
 	}
 	for _, it := range o.items {
-		if it.state == reserved && now.After(it.keepUntil) {
+		if (it.state == reserved || (it.partial && it.state == waiting)) && now.After(it.keepUntil) {
 			o.dropItem(it, nil)
 		}
 	}
@@ -191,6 +200,8 @@
 	}
 	o.refreshClosed(now)
 	o.round(now)
+	o.preempt(now)
+	o.enforceLimits(now)
 	o.publishLoad()
 }
 
@@ -236,6 +247,7 @@
 			o.queue.SetTeam(name, t.Share, used[name])
 		}
 		o.queue.SetCapacity(total)
+		o.fleetUsed = used
 	})
 }
 
--- a/ibisowner/place.go
+++ b/ibisowner/place.go
@@ -27,6 +27,9 @@
 	req       ibiswork.Request
 	attempt   int
 	intent    bool
+	partial   bool  // places are reserved one by one
+	pinned    bool  // a partial item that has all of its places and keeps them
+	wants     []int // the indexes of a partial item that have no place yet
 	indexes   []int
 	avoid     map[string]bool
 	state     itemState
@@ -44,7 +47,13 @@
 func (o *Owner) Place(ctx context.Context, req *ibiswire.PlaceRequest) (*ibiswire.PlaceReply, error) {
 	var it *item
 	var refused error
-	err := o.loop.Do(ctx, func() { it, refused = o.attach(req, time.Now()) })
+	err := o.loop.Do(ctx, func() {
+		if req.Partial {
+			it, refused = o.attachPartial(req, time.Now())
+		} else {
+			it, refused = o.attach(req, time.Now())
+		}
+	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -72,8 +81,8 @@
 		case it.dropped:
 			refusal = it.refusal
 		case it.state == waiting:
-			reply = &ibiswire.PlaceReply{State: ibiswire.Waiting}
-			if it.attached == 0 {
+			reply = &ibiswire.PlaceReply{State: ibiswire.Waiting, Places: it.places}
+			if it.attached == 0 && !it.partial {
 				o.dropItem(it, nil)
 			}
 		case it.state == reserved && it.intent:
@@ -111,6 +120,19 @@
 
 // attach finds or makes the item of a request, on the loop.
 func (o *Owner) attach(req *ibiswire.PlaceRequest, now time.Time) (*item, error) {
+	it, err := o.known(req)
+	if it != nil || err != nil {
+		return it, err
+	}
+	it = newItem(req, now)
+	o.items[it.req.ID] = it
+	o.push(it, len(it.indexes), req, now)
+	o.round(now)
+	return it, nil
+}
+
+// known finds the item of an attempt that was asked for before; it refuses what cannot be placed.
+func (o *Owner) known(req *ibiswire.PlaceRequest) (*item, error) {
 	if err := o.checkHolder(req.From); err != nil {
 		return nil, err
 	}
@@ -132,14 +154,16 @@
 	if o.draining {
 		return nil, ibiswork.Refuse(ibiswork.CodeDraining, "the owner is draining")
 	}
-	it := newItem(req, now)
-	o.items[id] = it
+	return nil, nil
+}
+
+// push puts an item into the queue for n tasks.
+func (o *Owner) push(it *item, n int, req *ibiswire.PlaceRequest, now time.Time) {
 	o.queue.Push(ibisqueue.Item{
-		ID: id, Team: it.req.Team, Class: it.req.Class, Urgent: it.req.Urgent,
-		Each: o.sizeOf(it), Tasks: len(it.indexes), Enqueued: it.enqueued, Deadline: deadline(req, now),
+		ID: it.req.ID, Team: it.req.Team, Class: it.req.Class, Urgent: it.req.Urgent,
+		Each: o.sizeOf(it), Tasks: n, Enqueued: it.enqueued, Deadline: deadline(req, now),
+		RunTime: time.Duration(o.sizes.RunMS(it.req.Team, it.req.Kind, it.req.RunTimeMS)) * time.Millisecond, Picky: len(it.avoid) > 0,
 	})
-	o.round(now)
-	return it, nil
 }
 
 func newItem(req *ibiswire.PlaceRequest, now time.Time) *item {
@@ -182,13 +206,23 @@
 	if o.queue.Len() == 0 {
 		return
 	}
+	o.inRound = true
 	o.queue.Round(now, func(q ibisqueue.Item) ibisqueue.Verdict {
 		it := o.items[q.ID]
 		if it == nil || it.state != waiting {
 			return ibisqueue.Taken // it left the queue by another way
 		}
+		if it.partial {
+			return o.tryPartial(it, q, now)
+		}
 		return o.tryPlace(it, q, now)
 	})
+	o.inRound = false
+	for _, id := range o.stale {
+		o.queue.Remove(id)
+	}
+	o.stale = o.stale[:0]
+	o.pushAgain(now)
 }
 
 func (o *Owner) tryPlace(it *item, q ibisqueue.Item, now time.Time) ibisqueue.Verdict {
@@ -200,6 +234,7 @@
 	names, ok := o.find(it, q)
 	if !ok {
 		o.cfg.Ledger.Free(q.Team, total)
+		o.noteBlocked(q)
 		return ibisqueue.NoRoom
 	}
 	o.reserve(it, names, q.Each, now)
@@ -236,23 +271,27 @@
 // reserve books the places of an item and wakes the calls that wait for them.
 func (o *Owner) reserve(it *item, names []string, size ibiswork.Resources, now time.Time) {
 	it.state, it.keepUntil = reserved, now.Add(ReserveFor)
-	it.places, it.tasks = nil, nil
 	for i, name := range names {
-		it.places = append(it.places, ibiswire.Place{Index: it.indexes[i], Server: name})
-		t := &task{
-			id:   ibisserver.TaskID{Request: it.req.ID, Index: it.indexes[i], Attempt: it.attempt},
-			meta: ibiswire.Meta{Shard: it.from.Shard, Team: it.req.Team, Class: it.req.Class, Idempotent: it.req.Idempotent, Tasks: it.req.TaskCount()},
-			kind: it.req.Kind, server: name, size: size, declared: it.req.Resources, counted: true, item: it,
-		}
-		it.tasks = append(it.tasks, t)
-		o.tasks[t.id] = t
-		o.fleet.Use(name, size)
-		o.servers[name].count++
+		o.book(it, it.indexes[i], name, size)
 	}
 	o.refreshAllowance(names, now)
 	close(it.placed)
 }
 
+// book counts one task of an item on a server.
+func (o *Owner) book(it *item, index int, name string, size ibiswork.Resources) {
+	it.places = append(it.places, ibiswire.Place{Index: index, Server: name})
+	t := &task{
+		id:   ibisserver.TaskID{Request: it.req.ID, Index: index, Attempt: it.attempt},
+		meta: ibiswire.Meta{Shard: it.from.Shard, Team: it.req.Team, Class: it.req.Class, Idempotent: it.req.Idempotent, Tasks: it.req.TaskCount()},
+		kind: it.req.Kind, server: name, size: size, declared: it.req.Resources, counted: true, item: it,
+	}
+	it.tasks = append(it.tasks, t)
+	o.tasks[t.id] = t
+	o.fleet.Use(name, size)
+	o.servers[name].count++
+}
+
 // dropItem takes a waiting or reserved item away and frees its places.
 func (o *Owner) dropItem(it *item, why *ibiswork.Refusal) {
 	if it.dropped || it.state == starting {
@@ -260,14 +299,19 @@
 	}
 	it.dropped, it.refusal = true, why
 	if it.state == waiting {
-		o.queue.Remove(it.req.ID)
 		close(it.placed)
+		if o.inRound {
+			o.stale = append(o.stale, it.req.ID)
+		} else {
+			o.queue.Remove(it.req.ID)
+		}
 	}
-	if it.state == reserved {
-		for _, t := range it.tasks {
-			o.uncount(t)
-			delete(o.tasks, t.id)
+	for _, t := range it.tasks {
+		if it.state == running {
+			break
 		}
+		o.uncount(t)
+		delete(o.tasks, t.id)
 	}
 	if o.items[it.req.ID] == it {
 		delete(o.items, it.req.ID)
--- a/ibiswire/wire.go
+++ b/ibiswire/wire.go
@@ -67,13 +67,15 @@
 
 // PlaceRequest asks an owner for places for one attempt at a request. With Intent the places are
 // reserved and a StartRequest follows; without it the tasks are started at once. Partial lets the owner
-// reserve fewer places than the gang needs; the places are given up unless the call is repeated in time.
+// reserve fewer places than it is asked for; they are given up unless the call is repeated in time. Pin
+// keeps them from being given to an older gang.
 type PlaceRequest struct {
 	From     Holder           `json:"From"`
 	Request  ibiswork.Request `json:"Request"`
 	Attempt  int              `json:"Attempt"`
 	Intent   bool             `json:"Intent,omitempty"`
 	Partial  bool             `json:"Partial,omitempty"`
+	Pin      bool             `json:"Pin,omitempty"`
 	Indexes  []int            `json:"Indexes,omitempty"` // the tasks of a gang to place; all when empty
 	Avoid    []string         `json:"Avoid,omitempty"`   // backend servers where it failed before
 	WaitMS   int64            `json:"WaitMS"`
