--- a/ibisclient/caller_test.go
+++ b/ibisclient/caller_test.go
@@ -98,6 +98,7 @@
 		{"ConnectionLost", steps(cutShort, ended), 2, "", false},
 		{"Balancer", steps(notADaemon, ended), 2, "", false},
 		{"NoRetryHelps", steps(refusing(ibiswork.CodeNeverFits, true, 0)), 1, ibiswork.CodeNeverFits, true},
+		{"DeadlineStays", steps(refusing(ibiswork.CodeDeadline, true, 1000)), 1, ibiswork.CodeDeadline, true},
 		{"AttemptsUsedUp", steps(refusing(ibiswork.CodeOverloaded, true, 10)), 4, ibiswork.CodeOverloaded, true},
 		{"NotRunOfTheLastOnly", steps(cutShort, refusing(ibiswork.CodeNeverFits, true, 0)), 2, ibiswork.CodeNeverFits, false},
 		{"NotRunNeverPromised", steps(refusing(ibiswork.CodeOutcomeUnknown, false, 0)), 1, ibiswork.CodeOutcomeUnknown, false},
--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -51,7 +51,7 @@
 		if maybeRun {
 			refusal = refusal.WithMaybeRun()
 		}
-		if refusal.RetryAfterMS == 0 || n >= c.attempts || ctx.Err() != nil {
+		if !retryable(refusal) || n >= c.attempts || ctx.Err() != nil {
 			return ibiswork.Status{}, refusal
 		}
 		moved := c.moveOn(at, refusal)
@@ -64,6 +64,12 @@
 	}
 }
 
+// retryable reports whether the same ID may get another answer later. A deadline that has passed stays
+// so: the time to come back is for another request.
+func retryable(r *ibiswork.Refusal) bool {
+	return r.RetryAfterMS > 0 && r.Code != ibiswork.CodeDeadline
+}
+
 // moveOn makes the next daemon the one to ask, unless another call has done so already. It reports
 // whether the refusal concerns only the daemon that gave it.
 func (c *Caller) moveOn(at uint64, refusal *ibiswork.Refusal) bool {
--- a/ibisgate/flow.go
+++ b/ibisgate/flow.go
@@ -11,6 +11,7 @@
 const (
 	overloadedRetry = time.Second
 	drainingRetry   = 100 * time.Millisecond
+	unknownRetry    = 500 * time.Millisecond
 )
 
 // flow counts the requests in progress and refuses new ones above a limit or while draining.
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -191,7 +191,8 @@
 func unknownOnTimeout(err error) error {
 	_, refused := errors.AsType[*ibiswork.Refusal](err)
 	if !refused && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)) {
-		return &ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown, Message: "no word of the request in time"}
+		r := &ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown, Message: "no word of the request in time"}
+		return r.WithRetryAfter(unknownRetry)
 	}
 	return err
 }
--- a/ibisload/load_test.go
+++ b/ibisload/load_test.go
@@ -178,6 +178,26 @@
 	assert.Assert(t, !ibiswork.AsRefusal(refused(true).or(refused(false)).err).NotRun)
 }
 
+func TestEndsAfterAcceptance(t *testing.T) {
+	for _, tc := range []struct {
+		refusal ibiswork.Refusal
+		want    End
+	}{
+		{ibiswork.Refusal{Code: ibiswork.CodeDeadline, RetryAfterMS: 1000}, GivenUp},
+		{ibiswork.Refusal{Code: ibiswork.CodeNeverFits}, GivenUp},
+		{ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown}, GivenUp},
+		{ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown, RetryAfterMS: 100}, Lost},
+		{ibiswork.Refusal{Code: ibiswork.CodeNotFound}, Lost},
+		{ibiswork.Refusal{Code: ibiswork.CodeOverloaded, RetryAfterMS: 100}, Lost},
+	} {
+		t.Run(string(tc.refusal.Code), func(t *testing.T) {
+			var rec Record
+			rec.finish(ibiswork.Request{}, outcome{accepted: true, err: &tc.refusal}, time.Time{})
+			assert.Equal(t, rec.End, tc.want)
+		})
+	}
+}
+
 func TestTimesCountFromTheScheduledArrival(t *testing.T) {
 	now := time.Now()
 	rec := Record{}
--- a/ibisload/record.go
+++ b/ibisload/record.go
@@ -58,11 +58,14 @@
 }
 
 // isFinal reports whether a refusal that came after the acceptance is the answer to the request, and
-// not a failure to learn it. Only these may end accepted work.
+// not a failure to learn it. Only these may end accepted work. An OutcomeUnknown without a time to come
+// back is the answer to work that was started on a backend server that was lost and may not run again.
 func isFinal(r *ibiswork.Refusal) bool {
 	switch r.Code {
-	case ibiswork.CodeDeadline, ibiswork.CodeNeverFits, ibiswork.CodeOverLimit:
+	case ibiswork.CodeDeadline, ibiswork.CodeNeverFits:
 		return true
+	case ibiswork.CodeOutcomeUnknown:
+		return r.RetryAfterMS == 0
 	}
 	return false
 }
