--- a/ibisallot/dead.go
+++ b/ibisallot/dead.go
@@ -13,7 +13,8 @@
 	deadTries     = 5 // rounds against concurrent changes of the rows
 )
 
-// MoveFrom takes, from the allotments of a dead incarnation, what is used here beyond the own ones. Call
+// MoveFrom takes, from the allotments of a dead incarnation, what is used here beyond the own ones; use
+// that they do not cover is put on record, so that it counts against the limit until it is covered. Call
 // it once Use has counted the tasks of backend servers that were taken over. With counted it also puts
 // on record that this daemon has counted all of its tasks, for Counted. It is repeated after any error.
 func (l *Ledger) MoveFrom(ctx context.Context, dead string, counted bool) error {
@@ -43,8 +44,9 @@
 	defer l.mu.Unlock()
 	var list []change
 	for team, a := range l.accounts {
-		moved := a.row.Move(dead, l.self, a.used.Sub(a.held(l.self)))
-		if moved.Held[dead] != a.row.Held[dead] {
+		held := a.held(l.self)
+		moved := a.row.Shrink(l.self, held).Move(dead, l.self, a.used.Sub(held)).withUsed(l.self, a.used)
+		if moved.Held[dead] != a.row.Held[dead] || moved.Over[l.self] != a.row.Over[l.self] {
 			list = append(list, change{team: team, row: moved})
 		}
 	}
--- a/ibisallot/ledger.go
+++ b/ibisallot/ledger.go
@@ -39,6 +39,7 @@
 const (
 	scanEvery = 500 * time.Millisecond // at most this old are the rows on which a round decides
 	wantFor   = time.Second            // demand that Want does not repeat is dropped after this
+	turn      = 10 * time.Second       // for which one daemon's indivisible demand goes first
 	idleAfter = 5 * time.Second        // a team whose use was stable for this long gives back what it does not use
 )
 
@@ -72,10 +73,11 @@
 	yield  ibiswork.Resources // to give up as tasks end
 	cut    ibiswork.Resources // given up here, not yet in the row
 	unmet  ibiswork.Resources
-	wanted time.Time // when unmet was last set
-	fresh  bool      // unmet was set since the last round
-	active bool      // used grew since the last round
-	moved  time.Time // the last round that found it active or fresh
+	lump   ibiswork.Resources // what was unused when unmet was set: all of unmet needs more at once
+	wanted time.Time          // when unmet was last set
+	fresh  bool               // unmet was set since the last round
+	active bool               // used grew since the last round
+	moved  time.Time          // the last round that found it active or fresh
 	wrote  time.Time
 	// bound is what a write of the own allotment that may still take effect, conditional on the present
 	// version of the row, would leave.
@@ -159,6 +161,7 @@
 		r = r.Max(a.unmet)
 	}
 	a.unmet, a.fresh, a.wanted = positive(r), true, l.now()
+	a.lump = positive(a.held(l.self).Sub(a.used)).Min(a.unmet)
 }
 
 // Entry is the state of one team in a ledger.
--- a/ibisallot/plan.go
+++ b/ibisallot/plan.go
@@ -1,8 +1,11 @@
 package ibisallot
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ibiscrank/ibiswork"
 )
 
@@ -17,13 +20,14 @@
 type kind struct {
 	limit   int64 // of the whole fleet
 	daemons int64 // live incarnations
-	sum     int64 // of all allotments in the row
+	sum     int64 // of all allotments in the row, and of the use of others beyond theirs
 	row     int64 // the own allotment in the row
 	held    int64 // of that, what has not been given up yet
 	used    int64
 	unmet   int64 // own demand beyond used that was refused
 	others  int64 // unmet demand of other daemons
-	first   int64 // of these, the ones that go before this daemon
+	first   int64 // of these, indivisible demand that goes before that of this daemon
+	lump    int64 // what was unused when the own demand was refused
 	idle    bool  // nothing has changed for a while
 }
 
@@ -53,23 +57,24 @@
 func (k kind) room() int64 { return max(k.held, k.limit-(k.sum-k.row)) }
 
 // share decides while other daemons lack capacity. What is not needed here is given up at once. Above an
-// even part of the limit, more is given up as tasks end; at or below it, unused capacity goes to those
-// that come first in order, so that two daemons which each need the whole do not keep half each.
+// even part of the limit, more is given up as tasks end. Demand that is refused while some capacity is
+// unused is indivisible, as of a gang: the first in order collects for it, and the others give theirs up,
+// so that two daemons which each need the whole do not keep half each.
 func (k kind) share(unused int64) (target, yield int64) {
 	even := k.limit / k.daemons
 	need := k.used + k.unmet
+	free := max(0, k.limit-(k.sum-k.row)-k.held)
 	if spare := k.held - need; spare > 0 {
 		return k.held - min(spare, k.others), 0
 	}
-	if k.held > even {
-		give := min(unused, k.others, k.held-even)
-		return k.held - give, min(k.others-give, k.held-even-give)
+	if k.first == 0 && k.lump > 0 {
+		return min(k.room(), need), 0
 	}
-	if give := min(unused, k.first); give > 0 {
-		return k.held - give, 0
+	give := min(unused, max(k.first, min(k.others, k.held-even)))
+	if give > 0 || k.held > even {
+		return k.held - give, max(0, min(k.others-give, k.held-even-give))
 	}
-	free := k.limit - (k.sum - k.row) - k.held
-	return max(k.held, min(k.room(), need, max(even, k.held+free-k.others))), 0
+	return max(k.held, min(k.room(), need, max(min(even, k.held+free), k.held+free-k.others))), 0
 }
 
 // amounts lists the kinds of capacity.
@@ -90,8 +95,17 @@
 	held   ibiswork.Resources
 	used   ibiswork.Resources
 	unmet  ibiswork.Resources
+	lump   ibiswork.Resources
 	idle   bool
-	repeat bool // write the row even when nothing changes
+	repeat bool  // write the row even when nothing changes
+	turn   int64 // the order of the daemons differs from turn to turn
+}
+
+// before reports whether the indivisible demand of another daemon goes before that of this one.
+func (s state) before(inc string) bool { return inc != s.self && s.rank(inc) < s.rank(s.self) }
+
+func (s state) rank(inc string) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s", s.row.Team, s.turn, inc))
 }
 
 // decision is the row to write, if it differs, and what to give up as tasks end.
@@ -106,28 +120,29 @@
 func (s state) decide() decision {
 	var first ibiswork.Resources
 	for inc, a := range s.row.Wanted {
-		if inc < s.self && slices.Contains(s.live, inc) {
+		if s.row.Whole[inc] && s.before(inc) && slices.Contains(s.live, inc) {
 			first = first.Add(a)
 		}
 	}
-	limit, sum, row := amounts(s.limit), amounts(s.row.Sum()), amounts(s.row.Held[s.self])
+	limit, sum, row := amounts(s.limit), amounts(s.row.Sum().Sub(s.row.Over[s.self])), amounts(s.row.Held[s.self])
 	held, used, unmet := amounts(s.held), amounts(s.used), amounts(s.unmet)
-	others, before := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first)
+	others, before, lump := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first), amounts(s.lump)
 	var target, yield, wanted [4]int64
 	for i := range limit {
 		target[i], yield[i] = kind{
 			limit: limit[i], daemons: int64(max(1, len(s.live))), sum: sum[i], row: row[i], held: held[i],
-			used: used[i], unmet: unmet[i], others: others[i], first: before[i], idle: s.idle,
+			used: used[i], unmet: unmet[i], others: others[i], first: before[i], lump: lump[i], idle: s.idle,
 		}.decide()
 		wanted[i] = max(0, min(used[i]+unmet[i], limit[i])-target[i])
 	}
 	d := decision{target: resources(target), yield: resources(yield)}
-	d.row = s.row.with(s.self, d.target)
-	if w := resources(wanted); differs(w, s.row.Wanted[s.self]) {
-		d.row = d.row.withWanted(s.self, w)
+	d.row = s.row.with(s.self, d.target).withUsed(s.self, s.used)
+	w := resources(wanted)
+	if whole := !w.IsZero() && !s.lump.IsZero(); differs(w, s.row.Wanted[s.self]) || whole != s.row.Whole[s.self] {
+		d.row = d.row.withWanted(s.self, w, whole)
 		d.write = true
 	}
-	d.write = d.write || s.repeat || d.target != s.row.Held[s.self]
+	d.write = d.write || s.repeat || d.target != s.row.Held[s.self] || d.row.Over[s.self] != s.row.Over[s.self]
 	d.urgent = s.repeat || !s.unmet.IsZero() || !positive(s.row.Held[s.self].Sub(d.target)).IsZero()
 	return d
 }
--- a/ibisallot/row.go
+++ b/ibisallot/row.go
@@ -18,7 +18,9 @@
 type Row struct {
 	Team    string                        `json:"Team"`
 	Held    map[string]ibiswork.Resources `json:"Held,omitempty"`
+	Over    map[string]ibiswork.Resources `json:"Over,omitempty"`   // used beyond what is held, after a takeover
 	Wanted  map[string]ibiswork.Resources `json:"Wanted,omitempty"` // beyond what is held, not available
+	Whole   map[string]bool               `json:"Whole,omitempty"`  // whose demand is indivisible
 	Version int64                         `json:"-"`
 }
 
@@ -27,7 +29,7 @@
 
 // Check reports an amount below zero.
 func (r Row) Check() error {
-	for _, m := range []map[string]ibiswork.Resources{r.Held, r.Wanted} {
+	for _, m := range []map[string]ibiswork.Resources{r.Held, r.Over, r.Wanted} {
 		for inc, a := range m {
 			if err := a.Check(); err != nil {
 				return Error.New("team %s at %s: %v", r.Team, inc, err)
@@ -77,8 +79,8 @@
 	return ibistable.Put(Key(r.Team), r.Version, value), nil
 }
 
-// Sum is all that is held.
-func (r Row) Sum() ibiswork.Resources { return sum(r.Held) }
+// Sum is all that counts against the limit: what is held, and what is used beyond it.
+func (r Row) Sum() ibiswork.Resources { return sum(r.Held).Add(sum(r.Over)) }
 
 func sum(m map[string]ibiswork.Resources) ibiswork.Resources {
 	var s ibiswork.Resources
@@ -102,12 +104,14 @@
 // Move passes an amount from one incarnation to another, at most what the first one holds.
 func (r Row) Move(from, to string, amount ibiswork.Resources) Row {
 	moved := positive(amount).Min(r.Held[from])
-	return r.with(from, r.Held[from].Sub(moved)).with(to, r.Held[to].Add(moved))
+	r = r.with(from, r.Held[from].Sub(moved))
+	return r.with(to, r.Held[to].Add(moved))
 }
 
 // Drop frees all that inc holds and wants.
 func (r Row) Drop(inc string) Row {
-	return r.with(inc, ibiswork.Resources{}).withWanted(inc, ibiswork.Resources{})
+	r = r.with(inc, ibiswork.Resources{}).withUsed(inc, ibiswork.Resources{})
+	return r.withWanted(inc, ibiswork.Resources{}, false)
 }
 
 func (r Row) with(inc string, held ibiswork.Resources) Row {
@@ -115,8 +119,15 @@
 	return r
 }
 
-func (r Row) withWanted(inc string, wanted ibiswork.Resources) Row {
+// withUsed puts on record what of the use is beyond what inc holds.
+func (r Row) withUsed(inc string, used ibiswork.Resources) Row {
+	r.Over = set(r.Over, inc, positive(used.Sub(r.Held[inc])))
+	return r
+}
+
+func (r Row) withWanted(inc string, wanted ibiswork.Resources, whole bool) Row {
 	r.Wanted = set(r.Wanted, inc, wanted)
+	r.Whole = set(r.Whole, inc, whole)
 	return r
 }
 
@@ -131,16 +142,18 @@
 	return s
 }
 
-func set(m map[string]ibiswork.Resources, inc string, a ibiswork.Resources) map[string]ibiswork.Resources {
-	if m[inc] == a {
+// set is m with one entry, where a zero value means no entry.
+func set[T comparable](m map[string]T, inc string, v T) map[string]T {
+	if m[inc] == v {
 		return m
 	}
 	m = maps.Clone(m)
 	if m == nil {
-		m = make(map[string]ibiswork.Resources)
+		m = make(map[string]T)
 	}
-	m[inc] = a
-	if a.IsZero() {
+	m[inc] = v
+	var zero T
+	if v == zero {
 		delete(m, inc)
 	}
 	return m
--- a/ibisallot/sync.go
+++ b/ibisallot/sync.go
@@ -66,7 +66,7 @@
 		read = read || a.bounded || !a.limit.FitsIn(limit)
 		a.limit = limit
 		if l.now().Sub(a.wanted) > wantFor {
-			a.unmet = ibiswork.Resources{}
+			a.unmet, a.lump = ibiswork.Resources{}, ibiswork.Resources{}
 		}
 		need := a.used.Add(a.unmet)
 		read = read || !need.FitsIn(a.held(l.self))
@@ -135,8 +135,9 @@
 		}
 		a.active, a.fresh = false, false
 		d := state{
-			row: a.row, self: l.self, live: live, limit: a.limit, held: a.held(l.self), used: a.used, unmet: a.unmet,
+			row: a.row, self: l.self, live: live, limit: a.limit, held: a.held(l.self), used: a.used, unmet: a.unmet, lump: a.lump,
 			idle: now.Sub(a.moved) > idleAfter && now.Sub(a.wrote) > idleAfter, repeat: a.bounded,
+			turn: now.UnixNano() / int64(turn),
 		}.decide()
 		a.yield = d.yield
 		if d.write {
