Order gangs by one instant at every owner

Cause: four gangs of 50 tasks, whose team may run 60, held parts of the limit at three owners. The queue offered them by the time of their acceptance, an older gang took places from a younger one by ID: where the two orders differed nobody got on until all had given up after 20 s. Ruled out: one wound a round (filling on until nothing younger was left changed nothing alone). Change: the queue orders partial items by the instant in the ID, an older gang takes until it is filled, also where the upper limit is what it lacks.

--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -3,11 +3,8 @@
 
 import (
 	"github.com/alecthomas/kong"
-	"github.com/zeebo/errs"
 )
 
-var errNotBuilt = errs.New("this command is not there yet")
-
 // cli is every command of the program; each runs itself.
 type cli struct {
 	Serve         serveCmd         `cmd:"" help:"Run the daemon of one entry VM."`
--- a/ibisowner/partial.go
+++ b/ibisowner/partial.go
@@ -24,6 +24,7 @@
 	if it == nil {
 		it = newItem(req, now)
 		it.partial = true
+		it.enqueued = it.req.ID.Instant() // the same order of gangs at every owner, as in takeFromYounger
 		o.items[it.req.ID] = it
 	} else if it.state == starting || it.state == running {
 		return it, nil
@@ -67,9 +68,11 @@
 // tryPartial reserves as many of the wanted places as there is room for. An older gang takes the places
 // of a younger one, so that two gangs never wait for each other.
 func (o *Owner) tryPartial(it *item, q ibisqueue.Item, now time.Time) ibisqueue.Verdict {
-	verdict := o.fill(it, q, now)
-	if verdict == ibisqueue.NoRoom && o.takeFromYounger(it) {
-		verdict = o.fill(it, q, now)
+	verdict, overLimit := o.fill(it, q, now)
+	for len(it.missing()) > 0 && o.takeFromYounger(it, overLimit) {
+		if v, over := o.fill(it, q, now); v == ibisqueue.Taken {
+			verdict, overLimit = v, over
+		}
 	}
 	if verdict != ibisqueue.Taken {
 		return verdict
@@ -83,17 +86,18 @@
 	return ibisqueue.Taken
 }
 
-// fill books places until there is no more room; it returns Taken when it booked at least one.
-func (o *Owner) fill(it *item, q ibisqueue.Item, now time.Time) ibisqueue.Verdict {
+// fill books places until there is no more room; it returns Taken when it booked at least one, and
+// whether the team's upper limit was what ended it.
+func (o *Owner) fill(it *item, q ibisqueue.Item, now time.Time) (verdict ibisqueue.Verdict, overLimit bool) {
 	ask := ibisplace.Ask{Team: q.Team, Class: q.Class, Resources: q.Each, Avoid: it.avoid}
-	verdict := ibisqueue.NoRoom
+	verdict = ibisqueue.NoRoom
 	for _, index := range it.missing() {
 		if !o.cfg.Ledger.TryUse(q.Team, q.Each) {
 			o.cfg.Ledger.Want(q.Team, q.Each.Times(int64(len(it.missing()))))
 			if verdict == ibisqueue.NoRoom {
 				verdict = ibisqueue.OverLimit
 			}
-			break
+			return verdict, true
 		}
 		name, ok := o.fleet.Place(ask)
 		if !ok {
@@ -105,14 +109,17 @@
 		o.refreshAllowance([]string{name}, now)
 		verdict = ibisqueue.Taken
 	}
-	return verdict
+	return verdict, false
 }
 
 // takeFromYounger gives up the places of the youngest partial item that is younger than it and not
-// pinned.
-func (o *Owner) takeFromYounger(it *item) bool {
+// pinned; sameTeam asks for one whose places count against the same upper limit.
+func (o *Owner) takeFromYounger(it *item, sameTeam bool) bool {
 	var youngest *item
 	for _, other := range o.items {
+		if sameTeam && other.req.Team != it.req.Team {
+			continue
+		}
 		loose := other.partial && !other.pinned && len(other.places) > 0 && (other.state == waiting || other.state == reserved)
 		if loose && it.req.ID.Before(other.req.ID) && (youngest == nil || youngest.req.ID.Before(other.req.ID)) {
 			youngest = other
@@ -131,7 +138,7 @@
 	o.again = nil
 	for _, it := range again {
 		if !it.dropped && it.state == waiting && len(it.wants) > 0 {
-			o.push(it, len(it.wants), &ibiswire.PlaceRequest{Request: it.req, WaitedMS: now.Sub(it.enqueued).Milliseconds()}, now)
+			o.push(it, len(it.wants), &ibiswire.PlaceRequest{Request: it.req}, now)
 		}
 	}
 }
--- a/ibiswork/id.go
+++ b/ibiswork/id.go
@@ -35,6 +35,17 @@
 	return time.Unix(sec, nsec)
 }
 
+// Instant is Time made finer by the next 12 bits of the ID, so that it orders IDs of one millisecond as
+// Before does.
+func (id ID) Instant() time.Time {
+	u, err := uuid.Parse(string(id))
+	if err != nil {
+		return time.Time{}
+	}
+	fine := time.Duration(u[6]&0x0f)<<8 | time.Duration(u[7])
+	return id.Time().Truncate(time.Millisecond).Add(fine * time.Millisecond >> 12)
+}
+
 // Shard maps the ID to one of n shards.
 func (id ID) Shard(n int) int { return int(xxhash.Sum64String(string(id)) % uint64(n)) }
 
