Bound a round by looks, not only by offers; fixed seeds for property tests

Cause: a round on a full fleet parked up to 64 groups of each of 140 teams, 7.9 ms with 20,000 and 19 ms with 100,000 items waiting (BenchmarkRoundWithoutRoom). Now the first 4 groups of a team are offered in each round and 16 of those behind them in turn, without leaving their heap, and a team is served until something is taken: 2.3 ms and 3.7 ms on the same machine. Looking at 64 in turn took 5.4 ms and 11 ms, and choosing the team anew for each 15 ms and 29 ms, so both were dropped. Gangs that are covered by a smaller size that found no room now come in line for a reservation too.

--- a/ibisadmit/admit_test.go
+++ b/ibisadmit/admit_test.go
@@ -8,9 +8,12 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisadmit"
+	"ibiscrank/ibisseed"
 	"ibiscrank/ibiswork"
 )
 
+func TestMain(m *testing.M) { ibisseed.Main(m) }
+
 var now = time.Unix(1_800_000_000, 0)
 
 func load(waiting int, rate float64) ibisadmit.Load {
--- a/ibisestimate/estimate_test.go
+++ b/ibisestimate/estimate_test.go
@@ -9,9 +9,12 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisestimate"
+	"ibiscrank/ibisseed"
 	"ibiscrank/ibiswork"
 )
 
+func TestMain(m *testing.M) { ibisseed.Main(m) }
+
 func size(cpu, mem int64) ibiswork.Resources {
 	return ibiswork.Resources{MilliCPU: cpu, MemoryMB: mem, Accelerators: 1, Slots: 1}
 }
--- a/ibisplace/place_test.go
+++ b/ibisplace/place_test.go
@@ -8,9 +8,12 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisplace"
+	"ibiscrank/ibisseed"
 	"ibiscrank/ibiswork"
 )
 
+func TestMain(m *testing.M) { ibisseed.Main(m) }
+
 func res(cpu, mem, acc, slots int64) ibiswork.Resources {
 	return ibiswork.Resources{MilliCPU: cpu, MemoryMB: mem, Accelerators: acc, Slots: slots}
 }
--- a/ibisqueue/fair_test.go
+++ b/ibisqueue/fair_test.go
@@ -9,9 +9,12 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisqueue"
+	"ibiscrank/ibisseed"
 	"ibiscrank/ibiswork"
 )
 
+func TestMain(m *testing.M) { ibisseed.Main(m) }
+
 // TestSharesDifferByOneTask checks the invariant of dominant-resource fairness: while all teams wait, no
 // team's weighted share is above another's by more than its last task.
 func TestSharesDifferByOneTask(t *testing.T) {
--- a/ibisqueue/queue.go
+++ b/ibisqueue/queue.go
@@ -79,7 +79,8 @@
 	roomKnown bool
 	round     uint64
 	reserved  reservation
-	failed    failedShapes
+	failed    failedSizes
+	parked    []*group // memory for rounds
 }
 
 // Push adds an item; an ID that is already waiting changes nothing.
--- a/ibisqueue/round.go
+++ b/ibisqueue/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"ibiscrank/ibiswork"
@@ -9,32 +10,29 @@
 
 // Bounds on the work of one Round.
 const (
-	maxTeamNoRoom  = 8    // offers of one team that find no room
-	maxTeamParked  = 64   // groups of one team that are passed over
-	maxNoRoom      = 1024 // offers of all teams that find no room
-	alwaysOffered  = 4    // groups of a team that are offered in every round
-	coolingRounds  = 16   // in which other groups are not offered again after they found no room
-	maxFailedKinds = 16   // sizes that are remembered as finding no room
+	maxNoRoom     = 512 // offers of all teams that find no room
+	maxTeamParked = 4   // groups at the head of a team's line that are passed over
+	maxTeamTries  = 4   // offers further down the line that find no room
+	maxTeamProbes = 16  // groups further down the line that are looked at
 )
 
-// failedShapes is the sizes of single tasks that found no room in this round.
-type failedShapes struct {
-	count int
-	each  [maxFailedKinds]ibiswork.Resources
-	level [maxFailedKinds]level
+// failedSizes is the sizes of single tasks that found no room in this round, the smallest ones only.
+type failedSizes struct {
+	urgent bool // an urgent item may find room where others do not
+	each   []ibiswork.Resources
 }
 
-func (f *failedShapes) add(l level, each ibiswork.Resources) {
-	if f.count < maxFailedKinds {
-		f.each[f.count], f.level[f.count] = each, l
-		f.count++
-	}
+func (f *failedSizes) reset(urgent bool) { f.urgent, f.each = urgent, f.each[:0] }
+
+func (f *failedSizes) add(each ibiswork.Resources) {
+	f.each = slices.DeleteFunc(f.each, func(r ibiswork.Resources) bool { return each.FitsIn(r) })
+	f.each = append(f.each, each)
 }
 
-// covers reports whether a task of that size cannot find room, because a smaller one did not.
-func (f *failedShapes) covers(l level, each ibiswork.Resources) bool {
-	for i := range f.count {
-		if f.level[i] == l && f.each[i].FitsIn(each) {
+// covers reports whether a task of that size cannot find room, because one no larger did not.
+func (f *failedSizes) covers(each ibiswork.Resources) bool {
+	for _, r := range f.each {
+		if r.FitsIn(each) {
 			return true
 		}
 	}
@@ -55,12 +53,19 @@
 // Round offers items to try in fair order and reports how many were taken. For an item that it starts,
 // try calls Charge, so that the next offer goes by the new shares, and returns Taken. A team whose item is
 // OverLimit is passed over. The number of offers that find no room is bounded, and items like one that
-// found no room are not offered again in the same round. While a blocked gang, or another item that is
+// found no room are not offered again in the same round. Of each team the first groups of like items are
+// offered in every round, and those behind them in turn. While a blocked gang, or another item that is
 // overdue, holds a reservation, only interactive items and items that leave it enough room are offered.
 func (q *Queue) Round(now time.Time, try func(Item) Verdict) (taken int) {
-	q.begin(now)
-	r := round{q: q, now: now, try: try}
+	r := round{q: q, now: now, try: try, parked: q.parked[:0]}
+	q.round++
+	q.reserved.lapse(now)
+	for _, t := range q.order {
+		t.blocked = false
+	}
+	q.failed.reset(true)
 	r.run(true)
+	q.failed.reset(false)
 	r.offerReserved()
 	r.run(false)
 	r.restore()
@@ -69,23 +74,27 @@
 	return r.taken
 }
 
-func (q *Queue) begin(now time.Time) {
-	q.round++
-	q.failed.count = 0
-	q.reserved.lapse(now)
-	for _, t := range q.order {
-		t.noRoom, t.parked, t.blocked = 0, 0, false
-	}
-}
-
 // run offers items until no team has one left to offer.
 func (r *round) run(urgent bool) {
+	for _, t := range r.q.order {
+		t.parked, t.tries, t.probes = 0, 0, 0
+	}
 	for r.noRoom < maxNoRoom {
 		t, g := r.pick(urgent)
 		if t == nil {
 			return
 		}
+		r.serve(t, g, urgent)
+	}
+}
+
+// serve offers items of a team until one is taken, which changes the order of the teams, or none is left
+// to offer.
+func (r *round) serve(t *team, g *group, urgent bool) {
+	before := r.taken
+	for g != nil && r.taken == before && t.skip != r.q.round && r.noRoom < maxNoRoom {
 		r.offer(t, g)
+		g = t.next(urgent)
 	}
 }
 
@@ -104,13 +113,19 @@
 	return best, group
 }
 
+// offer offers the head of g, unless it is known that there is no room or none for it.
 func (r *round) offer(t *team, g *group) {
 	e := g.head()
-	if r.hopeless(t, g) || r.heldBack(e) {
-		r.park(t, g)
-		return
+	switch {
+	case g.shape.id == "" && r.q.failed.covers(g.shape.each):
+		t.blocked = true
+		r.nominate(e)
+		r.pass(t, g)
+	case r.heldBack(e):
+		r.pass(t, g)
+	default:
+		r.judge(t, e, r.try(e.item))
 	}
-	r.judge(t, e, r.try(e.item))
 }
 
 // judge acts on the verdict on e.
@@ -131,55 +146,50 @@
 
 // refused notes that e found no room.
 func (r *round) refused(t *team, e *entry) {
-	g := e.group
 	t.blocked = true
-	t.noRoom++
+	t.tries++
 	r.noRoom++
-	g.tried = r.q.round
 	if max(e.item.Tasks, 1) == 1 && !e.item.Picky {
-		r.q.failed.add(g.level, e.item.Each)
-	}
-	if r.mayReserve(e) && (r.first == nil || e.reserved < r.first.reserved) {
-		r.first = e
-	}
-	if g.pos >= 0 {
-		r.park(t, g)
+		r.q.failed.add(e.item.Each)
 	}
-	if t.noRoom >= maxTeamNoRoom {
-		t.skip = r.q.round
-	}
-}
-
-// mayReserve reports whether e may hold a reservation: a gang at once, any other item once overdue.
-func (r *round) mayReserve(e *entry) bool {
-	return e.item.Class == ibiswork.Gang || r.now.Sub(e.item.Enqueued) > overdue
+	r.nominate(e)
+	r.pass(t, e.group)
 }
 
-// hopeless reports whether the head of g need not be offered: a smaller item found no room in this
-// round, or the group found none a few rounds ago and enough others of the team are offered.
-func (r *round) hopeless(t *team, g *group) bool {
-	if g.shape.id == "" && r.q.failed.covers(g.level, g.shape.each) {
-		t.blocked = true
-		return true
+// nominate puts e in line for a reservation: a gang at once, any other item once overdue.
+func (r *round) nominate(e *entry) {
+	if e.item.Class != ibiswork.Gang && r.now.Sub(e.item.Enqueued) <= overdue {
+		return
+	}
+	if r.first == nil || e.reserved < r.first.reserved {
+		r.first = e
 	}
-	return t.parked >= alwaysOffered && g.tried > 0 && r.q.round-g.tried < coolingRounds
 }
 
-// park takes g out of its team's line until the end of the round.
-func (r *round) park(t *team, g *group) {
-	heap.Remove(&t.classes[g.level].heads, g.pos)
-	r.parked = append(r.parked, g)
-	t.parked++
+// pass goes on from g to the next group of the team: those at the head of the line are parked until the
+// end of the round, of those behind them the team looks at some in each round.
+func (r *round) pass(t *team, g *group) {
 	if t.parked >= maxTeamParked {
-		t.skip = r.q.round
+		t.probes++
+		t.cursor++
+		return
+	}
+	if g.pos >= 0 {
+		heap.Remove(&t.classes[g.level].heads, g.pos)
+		r.parked = append(r.parked, g)
+	}
+	if t.parked++; t.parked == maxTeamParked {
+		t.tries = 0
 	}
 }
 
 func (r *round) restore() {
-	for _, g := range r.parked {
+	for i, g := range r.parked {
 		if len(g.entries) > 0 {
 			t := r.q.teams[g.head().item.Team]
 			heap.Push(&t.classes[g.level].heads, g)
 		}
+		r.parked[i] = nil
 	}
+	r.q.parked = r.parked[:0]
 }
--- a/ibisqueue/team.go
+++ b/ibisqueue/team.go
@@ -93,8 +93,7 @@
 	shape   shape
 	level   level
 	entries entryHeap
-	pos     int    // among the heads of its level, -1 while it is parked
-	tried   uint64 // round in which its head was last offered and found no room
+	pos     int // among the heads of its level, -1 while it is parked
 }
 
 func (g *group) head() *entry { return g.entries[0] }
@@ -120,8 +119,10 @@
 	turns   int
 	blocked bool   // found no room in the last round
 	skip    uint64 // round for which it is passed over
-	noRoom  int    // in this round
-	parked  int    // groups, in this round
+	cursor  int    // where it looks next behind the head of its line
+
+	// Counts of the round under way.
+	parked, tries, probes int
 }
 
 func (t *team) weighted() float64 { return t.share / t.weight }
@@ -170,18 +171,25 @@
 
 // next is the group whose head the team offers next, or nil.
 func (t *team) next(urgent bool) *group {
-	if urgent {
+	switch {
+	case t.parked >= maxTeamParked:
+		return t.probe(urgent)
+	case urgent:
 		return t.first(levelUrgent)
+	case t.turns%lowTurn == lowTurn-1:
+		return t.firstUpward()
 	}
-	if t.turns%lowTurn == lowTurn-1 {
-		for l := levelBatch; l > levelUrgent; l-- {
-			if g := t.first(l); g != nil {
-				return g
-			}
+	for l := levelInteractive; l < levelCount; l++ {
+		if g := t.first(l); g != nil {
+			return g
 		}
-		return nil
 	}
-	for l := levelInteractive; l < levelCount; l++ {
+	return nil
+}
+
+// firstUpward is the first group of the least urgent level.
+func (t *team) firstUpward() *group {
+	for l := levelBatch; l > levelUrgent; l-- {
 		if g := t.first(l); g != nil {
 			return g
 		}
@@ -195,3 +203,26 @@
 	}
 	return nil
 }
+
+// probe is the group at the cursor among those behind the head of the line, or nil when enough of them
+// were looked at in this round.
+func (t *team) probe(urgent bool) *group {
+	low, high := levelInteractive, levelCount
+	if urgent {
+		low, high = levelUrgent, levelInteractive
+	}
+	n := 0
+	for l := low; l < high; l++ {
+		n += len(t.classes[l].heads)
+	}
+	if n == 0 || t.tries >= maxTeamTries || t.probes >= min(n, maxTeamProbes) {
+		return nil
+	}
+	at := t.cursor % n
+	for l := low; ; l++ {
+		if h := t.classes[l].heads; at < len(h) {
+			return h[at]
+		}
+		at -= len(t.classes[l].heads)
+	}
+}
--- a/ibisretry/retry_test.go
+++ b/ibisretry/retry_test.go
@@ -9,8 +9,11 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisretry"
+	"ibiscrank/ibisseed"
 )
 
+func TestMain(m *testing.M) { ibisseed.Main(m) }
+
 // TestBudgetBoundsRetries holds for any order: retries never exceed the burst and the ratio of first
 // attempts, and one team's retries cost another nothing.
 func TestBudgetBoundsRetries(t *testing.T) {
