Keep the operator's name of a withdrawal that was accepted while the store was away

Cause: a trial with three daemons and the stand-ins showed the withdrawal in the audit list under deny-set instead of the operator, because whichever daemon polled first wrote it down. It also showed that a command that reached no daemon answered OutcomeUnknown, and that an unknown outcome did not name the change ID to repeat.

Change: the daemon that accepted the withdrawal keeps its change and writes it down first; others leave it some polls. The client tells Unreachable (nothing was sent) from OutcomeUnknown and names the ID. Lists are in order, daemons are named by address and failure domain, and a server set aside that the platform does not list is marked.

Conclusion: go test -race ./ibisconfig ./ibisadmin ./ibisclient passes.

--- a/cmd/ibiscrank/operator.go
+++ b/cmd/ibiscrank/operator.go
@@ -4,13 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"os"
 	"time"
 
 	"ibiscrank/ibisadmin"
 	"ibiscrank/ibisclient"
-	"ibiscrank/ibiswork"
 )
 
 // operatorFlags are the flags of every command that calls a daemon with an operator's key.
@@ -23,7 +21,7 @@
 // changeFlags are the flags of every command that changes something.
 type changeFlags struct {
 	operatorFlags `embed:""`
-	ChangeID      string `help:"ID of the change; give the same one to repeat a command whose outcome is unknown." placeholder:"ID"`
+	ChangeID      string `help:"ID of the change; give the one that was named to repeat a command whose outcome is unknown." placeholder:"ID"`
 }
 
 func (f operatorFlags) admin() *ibisclient.Admin {
@@ -56,9 +54,6 @@
 	if printErr := printJSON(refusal); printErr != nil {
 		return printErr
 	}
-	if refusal.Code == ibiswork.CodeOutcomeUnknown {
-		return fmt.Errorf("%w (repeat the command with the same --change-id)", err)
-	}
 	return err
 }
 
--- a/cmd/ibiscrank/report.go
+++ b/cmd/ibiscrank/report.go
@@ -74,5 +74,5 @@
 			aside++
 		}
 	}
-	fmt.Fprintf(w, "\n%d backend servers, %d set aside. Store reachable: %v, %.1f ms, %.1f writes/s\n\n", len(o.Servers), aside, o.Store.Reachable, o.Store.LatencyMS, o.Store.WritesPerSecond)
+	fmt.Fprintf(w, "\n%d backend servers, %d set aside. Store reachable: %v\n\n", len(o.Servers), aside, o.Store.Reachable)
 }
--- a/ibisadmin/admin.go
+++ b/ibisadmin/admin.go
@@ -35,6 +35,8 @@
 type Config interface {
 	Snapshot() *ibisconfig.Snapshot
 	Apply(ctx context.Context, c ibisconfig.Change) (ibisconfig.Result, error)
+	// ApplyLater keeps a withdrawal that is in force already until the table is back.
+	ApplyLater(h ibisconfig.KeyHash, c ibisconfig.Change)
 	Audit(ctx context.Context, limit int) ([]ibisconfig.AuditEntry, error)
 }
 
@@ -118,6 +120,7 @@
 	if err := g.Wait(); err != nil {
 		v.FleetErr = err.Error()
 	}
+	v.Overview.sort()
 	v.Overview.Alerts = append(v.Overview.Alerts, evaluateAlerts(v)...)
 	sortAlerts(v.Overview.Alerts)
 	return v
--- a/ibisadmin/alerts.go
+++ b/ibisadmin/alerts.go
@@ -67,7 +67,7 @@
 	"FleetFull":         fleetFull,
 	"BurnPage":          burning(ibisburn.Page),
 	"BurnTicket":        burning(ibisburn.Ticket),
-	"BurnIncomplete":    func(v View) []string { return v.Burn.Missing },
+	"BurnIncomplete":    missingDaemons,
 	"DeniedUnwritten":   deniedUnwritten,
 	"BootstrapKey":      bootstrapKey,
 }
@@ -132,7 +132,7 @@
 	return func(v View) (names []string) {
 		for _, d := range v.Overview.Daemons {
 			if wrong(d, v) {
-				names = append(names, d.Incarnation+" at "+d.Address)
+				names = append(names, d.label())
 			}
 		}
 		return names
@@ -150,6 +150,20 @@
 	}
 }
 
+// missingDaemons names the daemons whose requests are not in the burn report.
+func missingDaemons(v View) []string {
+	var names []string
+	for _, id := range v.Burn.Missing {
+		i := slices.IndexFunc(v.Overview.Daemons, func(d Daemon) bool { return d.Incarnation == id })
+		if i < 0 {
+			names = append(names, id)
+			continue
+		}
+		names = append(names, v.Overview.Daemons[i].label())
+	}
+	return names
+}
+
 func atLimit(t TeamLoad) bool { return t.Queued > 0 && t.limitUse() >= fullFrom }
 
 func configBehind(d Daemon, v View) bool {
--- a/ibisadmin/api_test.go
+++ b/ibisadmin/api_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,6 +77,15 @@
 		assert.Equal(t, reply.Pending, tc.pending, name)
 		_, ok := b.store.Snapshot().Authenticate(key)
 		assert.Assert(t, !ok, name)
+		if tc.pending {
+			b.table.SetDown(false)
+			assert.NilError(t, b.store.WriteDenied(t.Context(), time.Time{}))
+			entries, err := b.store.Audit(t.Context(), 1)
+			assert.NilError(t, err)
+			assert.Equal(t, entries[0].Operator, ibisconfig.BootstrapOperator, "the audit list does not name who withdrew the key")
+			assert.Assert(t, b.mustCall("DELETE", path, body).Repeated, name)
+			continue
+		}
 		// A repeat after a lost reply says the same.
 		assert.Equal(t, b.mustCall("DELETE", path, body).Version, reply.Version, name)
 	}
--- a/ibisadmin/changes.go
+++ b/ibisadmin/changes.go
@@ -61,19 +61,14 @@
 	team, name := mux.Vars(r)["team"], mux.Vars(r)["key"]
 	k, known := a.Config.Snapshot().Teams[team].Key(name)
 	denied := known && a.deny(r, k.Hash)
-	req.BasedOn = ibisconfig.NoCondition
-	reply, err := a.apply(r, operator, req, func(c *ibisconfig.Change) {
-		c.WithdrawKey = &ibisconfig.WithdrawKey{Team: team, Name: name}
-	})
-	return settled(reply, denied, err)
-}
-
-// settled is the answer to a withdrawal that may be in force without the table.
-func settled(reply ChangeReply, denied bool, err error) (ChangeReply, error) {
+	c := ibisconfig.Change{ID: req.ID, Operator: operator, BasedOn: ibisconfig.NoCondition, At: a.Now().UTC()}
+	c.WithdrawKey = &ibisconfig.WithdrawKey{Team: team, Name: name}
+	res, err := a.Config.Apply(r.Context(), c)
 	if denied && (ibisconfig.Unavailable.Has(err) || ibisconfig.Unknown.Has(err)) {
+		a.Config.ApplyLater(k.Hash, c)
 		return ChangeReply{Pending: true}, nil
 	}
-	return reply, err
+	return ChangeReply{Result: res}, err
 }
 
 func (a *Admin) deny(r *http.Request, h ibisconfig.KeyHash) bool {
--- a/ibisadmin/overview.go
+++ b/ibisadmin/overview.go
@@ -1,6 +1,8 @@
 package ibisadmin
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"ibiscrank/ibiswork"
@@ -27,12 +29,15 @@
 	Answers       bool   `json:"Answers"`
 }
 
+// label is how a daemon is named to operators.
+func (d Daemon) label() string { return d.Address + " (" + d.FailureDomain + ")" }
+
 // StoreHealth is the state of the table service.
 type StoreHealth struct {
 	Reachable       bool    `json:"Reachable"`
-	AwayMS          int64   `json:"AwayMS,omitempty"` // since the last reply
-	LatencyMS       float64 `json:"LatencyMS"`        // of recent calls
-	WritesPerSecond float64 `json:"WritesPerSecond"`
+	AwayMS          int64   `json:"AwayMS,omitempty"`          // since the last reply
+	LatencyMS       float64 `json:"LatencyMS,omitempty"`       // of recent calls; zero: not known
+	WritesPerSecond float64 `json:"WritesPerSecond,omitempty"` // of this daemon; zero: not known
 }
 
 // ServerState is the state of a backend server.
@@ -77,3 +82,12 @@
 
 // limitUse is the largest part of the team's upper limit that is running.
 func (t TeamLoad) limitUse() float64 { return t.Running.Dominant(t.UpperLimit) }
+
+// sort orders every list by name.
+func (o *Overview) sort() {
+	slices.SortFunc(o.Daemons, func(a, b Daemon) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	slices.SortFunc(o.Servers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Teams, func(a, b TeamLoad) int { return cmp.Compare(a.Name, b.Name) })
+}
--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -203,6 +203,7 @@
 	Name       string
 	Reason     string
 	ByOperator bool
+	Listed     bool // in the platform's list of VMs
 }
 
 // homeBody is the body of the first page.
@@ -213,11 +214,12 @@
 	More   int // servers set aside that are not listed
 	Counts map[ServerState]int
 	Worst  []ibisburn.Line
+	Silent []string // daemons that are not in the burn report
 }
 
 func (a *Admin) home(w http.ResponseWriter, r *http.Request, p page) {
 	v := a.view(r.Context())
-	b := homeBody{View: v, Teams: teamRows(v), Worst: v.Burn.Worst(maxWorst), Counts: make(map[ServerState]int)}
+	b := homeBody{View: v, Teams: teamRows(v), Worst: v.Burn.Worst(maxWorst), Silent: missingDaemons(v), Counts: make(map[ServerState]int)}
 	for _, s := range v.Overview.Servers {
 		b.Counts[s.State]++
 	}
@@ -249,12 +251,16 @@
 // asideServers joins what operators set aside with what daemons did.
 func asideServers(v View) []asideServer {
 	var list []asideServer
+	listed := make(map[string]bool, len(v.Overview.Servers))
+	for _, s := range v.Overview.Servers {
+		listed[s.Name] = true
+	}
 	for _, name := range slices.Sorted(maps.Keys(v.Config.SetAside)) {
-		list = append(list, asideServer{Name: name, Reason: v.Config.SetAside[name], ByOperator: true})
+		list = append(list, asideServer{Name: name, Reason: v.Config.SetAside[name], ByOperator: true, Listed: listed[name]})
 	}
 	for _, s := range v.Overview.Servers {
 		if _, ok := v.Config.SetAside[s.Name]; s.SetAside && !ok {
-			list = append(list, asideServer{Name: s.Name, Reason: s.Reason, ByOperator: s.ByOperator})
+			list = append(list, asideServer{Name: s.Name, Reason: s.Reason, ByOperator: s.ByOperator, Listed: true})
 		}
 	}
 	return list
--- a/ibisadmin/page_test.go
+++ b/ibisadmin/page_test.go
@@ -68,7 +68,7 @@
 	assert.Equal(t, w.Code, http.StatusOK)
 	text := w.Body.String()
 	last := 0
-	for _, want := range []string{"What is wrong", "Store away", "Failure domain lost", "Daemon does not answer", "Backend server does not answer", "Team at its upper limit", "<h2>Teams", "12 queued", "<h2>Backend servers set aside", "s-3", "<h2>Daemons and store", "<h2>Service-level burn", "no answer from i-2"} {
+	for _, want := range []string{"What is wrong", "Store away", "Failure domain lost", "Daemon does not answer", "Backend server does not answer", "Team at its upper limit", "<h2>Teams", "12 queued", "<h2>Backend servers set aside", "s-3", "<h2>Daemons and store", "<h2>Service-level burn", "no answer from 10.0.0.2:8080 (ub-2)"} {
 		i := strings.Index(text[last:], want)
 		assert.Assert(t, i >= 0, "%q is missing or out of order in\n%s", want, text)
 		last += i
--- a/ibisclient/admin.go
+++ b/ibisclient/admin.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -18,6 +20,7 @@
 	"ibiscrank/ibisadmin"
 	"ibiscrank/ibisburn"
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibiswork"
 )
 
@@ -142,6 +145,9 @@
 		req.ID = uuid.Must(uuid.NewV7()).String()
 	}
 	err = a.do(ctx, method, path, req, &reply)
+	if refusal, ok := errors.AsType[*ibisadmin.Refusal](err); ok && refusal.Code == ibiswork.CodeOutcomeUnknown {
+		refusal.Message = fmt.Sprintf("%s; repeat it as change %s", refusal.Message, req.ID)
+	}
 	return reply, err
 }
 
@@ -172,7 +178,7 @@
 			continue
 		}
 		if maybeDone {
-			return &ibisadmin.Refusal{Refusal: *refusal.WithMaybeRun()}
+			return unknown(err)
 		}
 		return err
 	}
@@ -186,7 +192,10 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+a.key)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := a.client.Do(req)
+	resp, sent, err := ibishttp.Do(a.client, req)
+	if err != nil && !sent {
+		return true, &ibisadmin.Refusal{Refusal: *ibiswork.Refuse(ibiswork.CodeUnreachable, "%v", err)}
+	}
 	if err != nil {
 		return true, unknown(err)
 	}
--- a/ibisclient/admin_test.go
+++ b/ibisclient/admin_test.go
@@ -111,3 +111,12 @@
 	assert.Equal(t, refusal.Code, ibiswork.CodeOutcomeUnknown)
 	assert.Assert(t, !refusal.NotRun)
 }
+
+func TestAdminSaysThatNothingWasSent(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	srv.Close()
+	_, err := NewAdmin([]string{srv.URL}, operatorKey).Return(t.Context(), "", "s-1")
+	refusal := ibiswork.AsRefusal(err)
+	assert.Equal(t, refusal.Code, ibiswork.CodeUnreachable)
+	assert.Assert(t, refusal.NotRun)
+}
--- a/ibisconfig/store.go
+++ b/ibisconfig/store.go
@@ -47,6 +47,8 @@
 	mu        sync.Mutex // serializes publications
 	current   atomic.Pointer[Snapshot]
 	bootstrap KeyHash
+	later     map[KeyHash]Change // withdrawals that this store accepted while the table was away
+	skipped   map[KeyHash]int    // how often a withdrawal was left to the store that accepted it
 }
 
 // NewStore makes a store that knows nothing yet.
@@ -98,49 +100,6 @@
 	return s.publish(snap.clone())
 }
 
-// Deny refuses a key from now on, whatever the table says.
-func (s *Store) Deny(h KeyHash) { s.MergeDenied([]KeyHash{h}) }
-
-// Denied lists the denied keys in order.
-func (s *Store) Denied() []KeyHash { return keysOf(s.Snapshot().Denied) }
-
-// MergeDenied denies all keys of hs. The set only grows, up to MaxDenied.
-func (s *Store) MergeDenied(hs []KeyHash) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.current.Load()
-	if !slices.ContainsFunc(hs, func(h KeyHash) bool { return !old.Denied[h] }) {
-		return
-	}
-	snap := old.clone()
-	for _, h := range hs {
-		if hashForm.MatchString(string(h)) && len(snap.Denied) < MaxDenied {
-			snap.Denied[h] = true
-		}
-	}
-	s.current.Store(snap.Indexed())
-}
-
-// WriteDenied withdraws in the table every denied key that the configuration still holds. Several
-// daemons may do so at once.
-func (s *Store) WriteDenied(ctx context.Context, at time.Time) error {
-	snap := s.Snapshot()
-	for _, h := range keysOf(snap.Denied) {
-		team, name, ok := snap.KeyOf(h)
-		if !ok {
-			continue
-		}
-		_, err := s.Apply(ctx, Change{
-			ID: "denied-" + string(h[:32]), Operator: "deny-set", BasedOn: NoCondition, At: at,
-			WithdrawKey: &WithdrawKey{Team: team, Name: name},
-		})
-		if err != nil && !NotFound.Has(err) {
-			return err
-		}
-	}
-	return nil
-}
-
 // Poll reads the head and, when it is newer, the rows that changed. The first Poll of a fresh table
 // creates the head. Errors are of the classes Unavailable and Error.
 func (s *Store) Poll(ctx context.Context) error {
--- a/ibisconfig/store_test.go
+++ b/ibisconfig/store_test.go
@@ -178,19 +178,41 @@
 	assert.DeepEqual(t, b.Denied(), []KeyHash{HashKey("mill")})
 	assert.Assert(t, !b.Adopt(a.Snapshot()), "the same version was adopted twice")
 
+	accepted := withdrawKey("tuul-floor", "mill")
+	a.ApplyLater(HashKey("mill"), accepted)
+
 	table.SetDown(false)
-	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
 	assert.NilError(t, b.WriteDenied(t.Context(), testTime))
+	assert.Equal(t, len(b.Snapshot().Teams["tuul-floor"].Keys), 1, "a store that did not accept the withdrawal was first")
+	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
+	entries, err := a.Audit(t.Context(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, entries[0].Change, accepted.ID)
+	assert.Equal(t, entries[0].Operator, accepted.Operator)
 	fresh := NewStore(table)
 	assert.NilError(t, fresh.Poll(t.Context()))
 	_, ok = fresh.Snapshot().Authenticate("mill")
 	assert.Assert(t, !ok)
-	_, err := a.Apply(t.Context(), change(func(c *Change) {
+	_, err = a.Apply(t.Context(), change(func(c *Change) {
 		c.AddKey = &AddKey{Team: "tuul-floor", Key: Key{Name: "again", Hash: HashKey("mill")}}
 	}))
 	assert.Assert(t, Invalid.Has(err), "a withdrawn key came back: %v", err)
 }
 
+func TestDenySetIsWrittenWithoutTheStoreThatAcceptedIt(t *testing.T) {
+	table := ibistablefake.New()
+	s := NewStore(table)
+	mustApply(t, s, putTeam("tuul-floor", 1))
+	mustApply(t, s, addKey("tuul-floor", "mill"))
+	s.Deny(HashKey("mill"))
+	for range maxSkips {
+		assert.NilError(t, s.WriteDenied(t.Context(), testTime))
+		assert.Equal(t, len(s.Snapshot().Teams["tuul-floor"].Keys), 1)
+	}
+	assert.NilError(t, s.WriteDenied(t.Context(), testTime))
+	assert.Equal(t, len(s.Snapshot().Teams["tuul-floor"].Keys), 0)
+}
+
 func TestSnapshotEncodes(t *testing.T) {
 	s := NewStore(ibistablefake.New())
 	mustApply(t, s, putTeam("tuul-floor", 1))
