Refuse changes of an operator whose key was withdrawn, and never lose a first operator's key

Cause: a daemon that has not yet seen an operator's withdrawal authenticated the operator and made the change, since the change itself only reads the newest configuration. And after a lost reply to the creation of the first operator, the repeat was refused as Unauthorized, because the bootstrap key had ended: the new key was lost and the fleet locked.

Change: a change carries the hash of the operator's key and is refused when that key is not in force at the version that it is applied to. The client calls such a repeat's outcome unknown and gives the key beside the error; the command prints it.

--- a/cmd/ibiscrank/key.go
+++ b/cmd/ibiscrank/key.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 
 	"ibiscrank/ibisadmin"
 	"ibiscrank/ibisclient"
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibiswork"
 )
 
 // keyCmd is the command key.
@@ -25,6 +27,21 @@
 	ibisadmin.ChangeReply
 }
 
+// issue runs a command that makes a key. After an unknown outcome it shows the key as well, because it
+// may be in force.
+func issue(f operatorFlags, do func(ctx context.Context, a *ibisclient.Admin) (string, ibisadmin.ChangeReply, error)) error {
+	key := ""
+	err := call(f, func(ctx context.Context, a *ibisclient.Admin) (issuedKey, error) {
+		made, reply, err := do(ctx, a)
+		key = made
+		return issued(made, reply), err
+	})
+	if err != nil && !ibiswork.AsRefusal(err).NotRun {
+		return fmt.Errorf("%w; the key, in case it is in force: %s", err, key)
+	}
+	return err
+}
+
 func issued(key string, reply ibisadmin.ChangeReply) issuedKey {
 	reply.Key = ""
 	return issuedKey{Key: key, Hash: ibisconfig.HashKey(key), ChangeReply: reply}
@@ -38,9 +55,8 @@
 
 // Run issues the key.
 func (c *keyIssueCmd) Run() error {
-	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (issuedKey, error) {
-		key, reply, err := a.IssueKey(ctx, "", c.Team, c.Name)
-		return issued(key, reply), err
+	return issue(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (string, ibisadmin.ChangeReply, error) {
+		return a.IssueKey(ctx, "", c.Team, c.Name)
 	})
 }
 
@@ -81,9 +97,8 @@
 
 // Run makes the operator's key.
 func (c *keyOperatorCmd) Run() error {
-	return call(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (issuedKey, error) {
-		key, reply, err := a.PutOperator(ctx, "", c.Name)
-		return issued(key, reply), err
+	return issue(c.operatorFlags, func(ctx context.Context, a *ibisclient.Admin) (string, ibisadmin.ChangeReply, error) {
+		return a.PutOperator(ctx, "", c.Name)
 	})
 }
 
--- a/ibisadmin/actions.go
+++ b/ibisadmin/actions.go
@@ -22,7 +22,7 @@
 	Fields   []string // of the form that names the subject
 	Reason   bool     // asks for a reason
 	Counts   bool     // the reply tells how many requests were cancelled
-	do       func(a *Admin, r *http.Request, operator string, req ChangeRequest, fields map[string]string) (ChangeReply, error)
+	do       func(a *Admin, r *http.Request, op operator, req ChangeRequest, fields map[string]string) (ChangeReply, error)
 }
 
 var actions = map[string]action{
@@ -30,32 +30,32 @@
 		Title: "Set aside", Question: "Set the backend server %s aside?",
 		Effect: "It gets no new work within seconds. What runs on it goes on.",
 		Fields: []string{"server"}, Reason: true,
-		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
-			return a.setAside(mux.SetURLVars(r, f), operator, req)
+		do: func(a *Admin, r *http.Request, op operator, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.setAside(mux.SetURLVars(r, f), op, req)
 		},
 	},
 	"return": {
 		Title: "Return", Question: "Return the backend server %s?",
 		Effect: "It gets new work again.",
 		Fields: []string{"server"},
-		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
-			return a.returnServer(mux.SetURLVars(r, f), operator, req)
+		do: func(a *Admin, r *http.Request, op operator, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.returnServer(mux.SetURLVars(r, f), op, req)
 		},
 	},
 	"withdraw": {
 		Title: "Withdraw key", Question: "Withdraw the key %s?",
 		Effect: "It stops working everywhere within seconds and can not be brought back.",
 		Fields: []string{"team", "key"},
-		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
-			return a.withdrawKey(mux.SetURLVars(r, f), operator, req)
+		do: func(a *Admin, r *http.Request, op operator, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.withdrawKey(mux.SetURLVars(r, f), op, req)
 		},
 	},
 	"cancel": {
 		Title: "Cancel queue", Question: "Cancel everything that the team %s has waiting?",
 		Effect: "Waiting requests end as Cancelled. What runs goes on.",
 		Fields: []string{"team"}, Counts: true,
-		do: func(a *Admin, r *http.Request, operator string, req ChangeRequest, f map[string]string) (ChangeReply, error) {
-			return a.cancelQueue(mux.SetURLVars(r, f), operator, req)
+		do: func(a *Admin, r *http.Request, op operator, req ChangeRequest, f map[string]string) (ChangeReply, error) {
+			return a.cancelQueue(mux.SetURLVars(r, f), op, req)
 		},
 	},
 }
@@ -131,7 +131,7 @@
 		return
 	}
 	req := ChangeRequest{ID: r.PostFormValue("id"), BasedOn: basedOn, Reason: r.PostFormValue("reason")}
-	reply, err := act.do(a, r, p.Operator, req, fields)
+	reply, err := act.do(a, r, operator{Name: p.Operator, Key: p.key}, req, fields)
 	if err != nil {
 		a.fail(w, p, err)
 		return
--- a/ibisadmin/api.go
+++ b/ibisadmin/api.go
@@ -51,8 +51,14 @@
 	Cancelled int    `json:"Cancelled,omitempty"`
 }
 
-// handler answers one request of the operator of that name.
-type handler func(r *http.Request, operator string) (any, error)
+// operator is who makes a request.
+type operator struct {
+	Name string
+	Key  ibisconfig.KeyHash
+}
+
+// handler answers one request of an operator.
+type handler func(r *http.Request, op operator) (any, error)
 
 func (a *Admin) registerAPI(r *mux.Router) {
 	r.HandleFunc("/config", a.api(a.getConfig)).Methods(http.MethodGet)
@@ -75,17 +81,17 @@
 func (a *Admin) api(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		operator, ok := a.Config.Snapshot().Operator(key)
+		name, ok := a.Config.Snapshot().Operator(key)
 		if !bearer || !ok {
 			w.Header().Set("WWW-Authenticate", `Bearer realm="ibiscrank operators"`)
 			writeRefusal(w, &Refusal{Refusal: *ibiswork.Refuse(ibiswork.CodeUnauthorized, "the operator key is missing or not in force")})
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
-		v, err := h(r, operator)
+		v, err := h(r, operator{Name: name, Key: ibisconfig.HashKey(key)})
 		if err != nil {
 			refusal := refusalOf(err)
-			log.WithFields(log.Fields{"operator": operator, "method": r.Method, "path": r.URL.Path, "code": refusal.Code}).Warn("OperatorRefused")
+			log.WithFields(log.Fields{"operator": name, "method": r.Method, "path": r.URL.Path, "code": refusal.Code}).Warn("OperatorRefused")
 			writeRefusal(w, refusal)
 			return
 		}
@@ -94,11 +100,11 @@
 }
 
 // changer makes one change for the operator.
-type changer func(r *http.Request, operator string, req ChangeRequest) (ChangeReply, error)
+type changer func(r *http.Request, op operator, req ChangeRequest) (ChangeReply, error)
 
 // change decodes the body of a change.
 func (a *Admin) change(do changer) handler {
-	return func(r *http.Request, operator string) (any, error) {
+	return func(r *http.Request, op operator) (any, error) {
 		var req ChangeRequest
 		dec := json.NewDecoder(r.Body)
 		dec.DisallowUnknownFields()
@@ -108,16 +114,16 @@
 			}
 			return nil, ibiswork.Refuse(ibiswork.CodeBadRequest, "body: %v", err)
 		}
-		reply, err := do(r, operator, req)
+		reply, err := do(r, op, req)
 		if err != nil {
 			return nil, err
 		}
-		log.WithFields(log.Fields{"operator": operator, "method": r.Method, "path": r.URL.Path, "version": reply.Version}).Info("OperatorChange")
+		log.WithFields(log.Fields{"operator": op.Name, "method": r.Method, "path": r.URL.Path, "version": reply.Version}).Info("OperatorChange")
 		return reply, nil
 	}
 }
 
-func (a *Admin) getConfig(*http.Request, string) (any, error) {
+func (a *Admin) getConfig(*http.Request, operator) (any, error) {
 	snap := a.Config.Snapshot()
 	v := ConfigView{Version: snap.Version, Teams: make(map[string]ibisconfig.Team), SetAside: snap.SetAside, Versions: snap.Versions, Denied: len(snap.Denied)}
 	for name, t := range snap.Teams {
@@ -129,7 +135,7 @@
 	return v, nil
 }
 
-func (a *Admin) getTeam(r *http.Request, _ string) (any, error) {
+func (a *Admin) getTeam(r *http.Request, _ operator) (any, error) {
 	t, ok := a.Config.Snapshot().Teams[mux.Vars(r)["team"]]
 	if !ok {
 		return nil, ibiswork.Refuse(ibiswork.CodeNotFound, "there is no team %s", mux.Vars(r)["team"])
@@ -137,7 +143,7 @@
 	return t.WithoutHashes(), nil
 }
 
-func (a *Admin) getAudit(r *http.Request, _ string) (any, error) {
+func (a *Admin) getAudit(r *http.Request, _ operator) (any, error) {
 	limit := defaultAuditLimit
 	if s := r.URL.Query().Get("limit"); s != "" {
 		n, err := strconv.Atoi(s)
@@ -149,7 +155,7 @@
 	return a.Config.Audit(r.Context(), limit)
 }
 
-func (a *Admin) getOverview(r *http.Request, _ string) (any, error) {
+func (a *Admin) getOverview(r *http.Request, _ operator) (any, error) {
 	v := a.view(r.Context())
 	if v.FleetErr != "" {
 		return nil, ibiswork.Refuse(ibiswork.CodeUnreachable, "overview: %s", v.FleetErr)
@@ -157,12 +163,12 @@
 	return v.Overview, nil
 }
 
-func (a *Admin) getBurn(r *http.Request, _ string) (any, error) {
+func (a *Admin) getBurn(r *http.Request, _ operator) (any, error) {
 	return a.burn(r.Context(), a.Config.Snapshot()), nil
 }
 
-func (a *Admin) apply(r *http.Request, operator string, req ChangeRequest, set func(*ibisconfig.Change)) (ChangeReply, error) {
-	c := ibisconfig.Change{ID: req.ID, Operator: operator, BasedOn: req.BasedOn, At: a.Now().UTC()}
+func (a *Admin) apply(r *http.Request, op operator, req ChangeRequest, set func(*ibisconfig.Change)) (ChangeReply, error) {
+	c := ibisconfig.Change{ID: req.ID, Operator: op.Name, By: op.Key, BasedOn: req.BasedOn, At: a.Now().UTC()}
 	set(&c)
 	res, err := a.Config.Apply(r.Context(), c)
 	return ChangeReply{Result: res}, err
--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -78,6 +78,7 @@
 	Daemon   string
 	Operator string
 	Token    string
+	key      ibisconfig.KeyHash
 	At       time.Time
 	Refresh  int // seconds, zero for never
 	Body     any
@@ -136,7 +137,7 @@
 			http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
 			return
 		}
-		show(w, r, page{Daemon: a.Daemon, Operator: operator, Token: formToken(c.Value), At: a.Now()})
+		show(w, r, page{Daemon: a.Daemon, Operator: operator, Token: formToken(c.Value), key: ibisconfig.HashKey(c.Value), At: a.Now()})
 	}
 }
 
--- a/ibisadmin/refusal.go
+++ b/ibisadmin/refusal.go
@@ -37,6 +37,8 @@
 		return r
 	case ibisconfig.Invalid.Has(err):
 		return refuse(ibiswork.CodeBadRequest)
+	case ibisconfig.Unauthorized.Has(err):
+		return refuse(ibiswork.CodeUnauthorized)
 	case ibisconfig.Reused.Has(err):
 		return refuse(ibiswork.CodeConflict)
 	case ibisconfig.NotFound.Has(err):
--- a/ibisclient/admin.go
+++ b/ibisclient/admin.go
@@ -95,7 +95,8 @@
 	return a.change(ctx, http.MethodDelete, "/teams/"+url.PathEscape(name), ibisadmin.ChangeRequest{ID: id, BasedOn: basedOn})
 }
 
-// IssueKey makes a key for a team. Only its hash is sent, so that a lost reply does not lose the key.
+// IssueKey makes a key for a team. Only its hash is sent, so that a lost reply does not lose the key;
+// it is returned beside an error too, because a change with an unknown outcome may have put it in force.
 func (a *Admin) IssueKey(ctx context.Context, id, team, name string) (key string, reply ibisadmin.ChangeReply, err error) {
 	key = ibisconfig.NewKey()
 	reply, err = a.change(ctx, http.MethodPost, "/teams/"+url.PathEscape(team)+"/keys",
@@ -109,7 +110,8 @@
 		ibisadmin.ChangeRequest{ID: id, BasedOn: ibisconfig.NoCondition})
 }
 
-// PutOperator makes a key for an operator, who is created or whose former key is replaced.
+// PutOperator makes a key for an operator, who is created or whose former key is replaced. The key is
+// returned beside an error too, because a change with an unknown outcome may have put it in force.
 func (a *Admin) PutOperator(ctx context.Context, id, name string) (key string, reply ibisadmin.ChangeReply, err error) {
 	key = ibisconfig.NewKey()
 	reply, err = a.change(ctx, http.MethodPut, "/operators/"+url.PathEscape(name),
@@ -169,10 +171,16 @@
 	maybeDone := false
 	for n := 0; ; n++ {
 		again, err := a.try(ctx, method, a.daemons[n%len(a.daemons)]+"/v1/admin"+path, body, out)
-		if err == nil || !again {
-			return err
+		if err == nil {
+			return nil
 		}
 		refusal := ibiswork.AsRefusal(err)
+		switch {
+		case !again && maybeDone && refusal.Code == ibiswork.CodeUnauthorized:
+			return unknown(err) // an earlier attempt may have replaced the key that it was made with
+		case !again:
+			return err
+		}
 		maybeDone = maybeDone || !refusal.NotRun
 		if n+1 < adminAttempts && sleep(ctx, wait.NextBackOff()) == nil {
 			continue
--- a/ibisclient/admin_test.go
+++ b/ibisclient/admin_test.go
@@ -85,6 +85,17 @@
 	assert.Equal(t, len(entries), 3, "a change took effect twice")
 }
 
+func TestFirstOperatorAfterALostReply(t *testing.T) {
+	address, store, lose := adminDaemon(t, ibistablefake.New())
+	lose.Store(1)
+	key, _, err := NewAdmin([]string{address}, operatorKey).PutOperator(t.Context(), "", "nara")
+	refusal := ibiswork.AsRefusal(err)
+	assert.Equal(t, refusal.Code, ibiswork.CodeOutcomeUnknown, "the repeat is made with a key that the first attempt replaced")
+	assert.Assert(t, !refusal.NotRun)
+	name, ok := store.Snapshot().Operator(key)
+	assert.Assert(t, ok && name == "nara", "the operator's key is lost")
+}
+
 func TestAdminTellsWhatChanged(t *testing.T) {
 	address, _, _ := adminDaemon(t, ibistablefake.New())
 	a := NewAdmin([]string{address}, operatorKey)
--- a/ibisconfig/apply.go
+++ b/ibisconfig/apply.go
@@ -13,7 +13,7 @@
 )
 
 // Apply makes one change. A repeat of a change that took effect returns its result again. Errors are of
-// the classes Invalid, Stale, Reused, NotFound, Unavailable, Unknown and Error.
+// the classes Invalid, Unauthorized, Stale, Reused, NotFound, Unavailable, Unknown and Error.
 func (s *Store) Apply(ctx context.Context, c Change) (Result, error) {
 	if err := c.Check(); err != nil {
 		return Result{}, err
@@ -62,6 +62,9 @@
 	if snap.Version != h.Version {
 		return Result{}, ibistable.Conflict.New("the configuration changed while it was read")
 	}
+	if c.By != "" && !snap.operatorKey(c.By) {
+		return Result{}, Unauthorized.New("the key of operator %s was withdrawn", c.Operator)
+	}
 	version := h.Version + 1
 	e, err := snap.plan(c, version)
 	if err != nil {
--- a/ibisconfig/change.go
+++ b/ibisconfig/change.go
@@ -18,6 +18,8 @@
 	Stale = errs.Class("config change stale")
 	// Reused says that the change's ID was used before for another change; nothing was written.
 	Reused = errs.Class("config change ID reused")
+	// Unauthorized says that the operator's key is no longer in force; nothing was written.
+	Unauthorized = errs.Class("config operator unauthorized")
 	// NotFound says that the item of the change does not exist; nothing was written.
 	NotFound = errs.Class("config item not found")
 	// Unavailable says that the store is away or busy; nothing was written.
@@ -33,6 +35,9 @@
 type Change struct {
 	ID       string `json:"ID"` // chosen by the client; the same ID never takes effect twice
 	Operator string `json:"Operator"`
+	// By, when set, is the hash of the operator's key. The change is refused when that key is no longer
+	// in force at the version that the change is applied to.
+	By KeyHash `json:"-"`
 	// BasedOn is the version of the item that the operator saw, zero when there was none, or NoCondition.
 	BasedOn        int64        `json:"BasedOn"`
 	At             time.Time    `json:"At"`
--- a/ibisconfig/snapshot.go
+++ b/ibisconfig/snapshot.go
@@ -147,17 +147,24 @@
 // Operator finds the operator of a key that is in force.
 func (s *Snapshot) Operator(key string) (name string, ok bool) {
 	h := HashKey(key)
-	if s.Denied[h] {
-		return "", false
-	}
 	for name, k := range s.Operators {
-		if k.Hash == h {
+		if k.Hash == h && !s.Denied[h] {
 			return name, true
 		}
 	}
 	return "", false
 }
 
+// operatorKey reports whether h is the hash of an operator's key that is in force.
+func (s *Snapshot) operatorKey(h KeyHash) bool {
+	for _, k := range s.Operators {
+		if k.Hash == h {
+			return !s.Denied[h]
+		}
+	}
+	return false
+}
+
 // ServerVersion is the version in which the backend server was set aside, zero when it is not.
 func (s *Snapshot) ServerVersion(server string) int64 { return s.Versions[asidePrefix+server] }
 
--- a/ibisconfig/store_test.go
+++ b/ibisconfig/store_test.go
@@ -152,6 +152,28 @@
 	assert.Equal(t, entries[0].Version, first.Snapshot().Version)
 }
 
+func TestWithdrawnOperatorChangesNothing(t *testing.T) {
+	table := ibistablefake.New()
+	away, other := NewStore(table), NewStore(table)
+	put := func(name string) {
+		mustApply(t, other, change(func(c *Change) {
+			c.PutOperator = &PutOperator{Name: name, Key: Key{Name: "phone", Hash: HashKey(name)}}
+		}))
+	}
+	put("nara")
+	put("otgon")
+	assert.NilError(t, away.Poll(t.Context()))
+	mustApply(t, other, change(func(c *Change) { c.DeleteOperator = "nara" }))
+	_, ok := away.Snapshot().Operator("nara")
+	assert.Assert(t, ok, "the store has not polled yet")
+	c := putTeam("tuul-floor", 1)
+	c.By = HashKey("nara")
+	_, err := away.Apply(t.Context(), c)
+	assert.Assert(t, Unauthorized.Has(err), "%v", err)
+	c.By = HashKey("otgon")
+	mustApply(t, away, c)
+}
+
 func TestLongAbsenceReadsEverything(t *testing.T) {
 	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
