Pace retries by what was refused; print two tables for a load

Change: a Caller's backoff grows past 500 ms only for overload, and a call makes up to 20 attempts, about 10 s, which is longer than a takeover of shards. The error of commands that are not there yet is gone, since all are there. Conclusion: kept for the longer persistence, not for the waiting time.

--- a/cmd/ibiscrank/load.go
+++ b/cmd/ibiscrank/load.go
@@ -29,7 +29,7 @@
 	Seed      uint64        `help:"Seed of the arrivals." default:"1"`
 	Repeat    float64       `help:"Part of the durable requests that are submitted twice at once." default:"0.02"`
 	TimeScale float64       `help:"Factor on all run times." default:"1"`
-	Attempts  int           `help:"HTTP requests of one call before it is given up." default:"10"`
+	Attempts  int           `help:"HTTP requests of one call before it is given up." default:"20"`
 	History   []string      `help:"URL of a history of backend servers to compare with." placeholder:"URL"`
 	JSON      bool          `name:"json" help:"Print the report as JSON."`
 	Records   string        `help:"File for what came of each request, one JSON object a line." type:"path"`
--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -1,12 +1,7 @@
 // Command ibiscrank is the daemon and the operators' and callers' tool of the scheduler.
 package main
 
-import (
-	"github.com/alecthomas/kong"
-	"github.com/zeebo/errs"
-)
-
-var errNotBuilt = errs.New("this command is not there yet")
+import "github.com/alecthomas/kong"
 
 // cli is every command of the program; each runs itself.
 type cli struct {
--- a/ibisclient/caller.go
+++ b/ibisclient/caller.go
@@ -33,7 +33,7 @@
 
 // Defaults of a Caller.
 const (
-	DefaultAttempts    = 10
+	DefaultAttempts    = 20
 	DefaultAnswerGrace = 3 * time.Second
 	// pollWait is how long one question for an answer waits at the daemon.
 	pollWait    = 10 * time.Second
--- a/ibisclient/caller_test.go
+++ b/ibisclient/caller_test.go
@@ -136,6 +136,36 @@
 	assert.DeepEqual(t, *pauses, []time.Duration{12 * time.Second})
 }
 
+// TestBackoff checks that only refusals for overload make the caller stay away longer and longer.
+func TestBackoff(t *testing.T) {
+	for _, tc := range []struct {
+		code    ibiswork.Code
+		longest time.Duration // without the random part
+	}{
+		{ibiswork.CodeRecovering, quickBackoff},
+		{ibiswork.CodeUnreachable, quickBackoff},
+		{ibiswork.CodeStoreUnavailable, quickBackoff},
+		{ibiswork.CodeOverloaded, maxBackoff},
+		{ibiswork.CodeOverLimit, maxBackoff},
+	} {
+		t.Run(string(tc.code), func(t *testing.T) {
+			srv := httptest.NewServer(refusing(tc.code, true, 100))
+			defer srv.Close()
+			c, pauses := newCaller(t, []string{srv.URL})
+			_, err := c.Submit(t.Context(), ibiswork.Request{Class: ibiswork.Batch}, 0)
+			assert.Equal(t, ibiswork.AsRefusal(err).Code, tc.code)
+			assert.Equal(t, len(*pauses), DefaultAttempts-1)
+			longest := time.Duration(0)
+			for _, p := range *pauses {
+				assert.Assert(t, p >= 100*time.Millisecond)
+				longest = max(longest, p)
+			}
+			// The jitter of a test adds half; the backoff of the library has a random half of its own.
+			assert.Assert(t, longest >= tc.longest/2 && longest <= tc.longest*9/4, "%v", longest)
+		})
+	}
+}
+
 func TestMovesBetweenDaemons(t *testing.T) {
 	dead := httptest.NewServer(http.NotFoundHandler())
 	dead.Close()
--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -19,6 +19,8 @@
 const (
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// quickBackoff bounds the backoff from refusals that pass without fewer requests being sent.
+	quickBackoff = 500 * time.Millisecond
 	// unreachableRetry is when a daemon that could not be reached may be tried again.
 	unreachableRetry = 100 * time.Millisecond
 )
@@ -92,10 +94,23 @@
 // again, so that refused callers do not come back together.
 func (c *Caller) pause(next backoff.BackOff, refusal *ibiswork.Refusal) time.Duration {
 	least := time.Duration(refusal.RetryAfterMS) * time.Millisecond
-	d := max(least, next.NextBackOff())
+	d := next.NextBackOff()
+	if !overloaded(refusal) {
+		d = min(d, quickBackoff)
+	}
+	d = max(least, d)
 	return d + time.Duration(c.jitter()*float64(d)/2)
 }
 
+// overloaded reports whether the refusal asks for fewer requests.
+func overloaded(r *ibiswork.Refusal) bool {
+	switch r.Code {
+	case ibiswork.CodeOverloaded, ibiswork.CodeOverLimit, ibiswork.CodeInternal:
+		return true
+	}
+	return false
+}
+
 // try makes one attempt.
 func (c *Caller) try(ctx context.Context, daemon string, e exchange) (ibiswork.Status, *ibiswork.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, e.wait+c.grace)
--- a/ibisload/report.go
+++ b/ibisload/report.go
@@ -121,23 +121,38 @@
 	return nil
 }
 
-// WriteTable writes the report for people.
+// WriteTable writes the report for people: what came of the requests, then how long it took.
 func (r Report) WriteTable(w io.Writer) {
 	fmt.Fprintf(w, "mix %s, seed %d, %.6g arrivals/s for %.6g s; took %.1f s\n\n", r.Mix, r.Seed, r.Rate, float64(r.DurationMS)/1000, float64(r.TookMS)/1000)
 	lines := append(append(append([]Line{}, r.Classes...), r.Kinds...), r.Total)
-	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	writeCounts(w, lines)
+	fmt.Fprintln(w)
+	writeTimes(w, lines)
+	r.writeRefusals(w)
+}
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+}
+
+func writeCounts(w io.Writer, lines []Line) {
+	tw := newTable(w)
 	defer tw.Flush()
-	fmt.Fprintln(tw, "\toffered\tdone\tfailed\tcancelled\tgiven up\trefused\tretries\tlost\tduplicated\t")
+	fmt.Fprintln(tw, "requests\toffered\tdone\tfailed\tcancelled\tgiven up\trefused\tretries\tlost\tduplicated\t")
 	for _, l := range lines {
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", l.Name, l.Offered, l.Done, l.Failed, l.Cancelled, l.GivenUp, l.Refused+l.NotSent, l.Retries, l.Lost, l.Duplicated+l.Damaged)
 	}
-	fmt.Fprintln(tw, "\t\t\t\t\t\t\t\t\t\t")
-	fmt.Fprintln(tw, "milliseconds\twait p50\tp90\tp99\tmax\tanswer p50\tp90\tp99\tmax\t\t")
+}
+
+func writeTimes(w io.Writer, lines []Line) {
+	tw := newTable(w)
+	defer tw.Flush()
+	fmt.Fprintln(tw, "milliseconds\twait p50\tp90\tp99\tmax\tanswer p50\tp90\tp99\tmax\t")
 	for _, l := range lines {
 		a, b := l.Wait, l.Answer
-		fmt.Fprintf(tw, "%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\t\n", l.Name, a.P50MS, a.P90MS, a.P99MS, a.MaxMS, b.P50MS, b.P90MS, b.P99MS, b.MaxMS)
+		fmt.Fprintf(tw, "%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", l.Name, a.P50MS, a.P90MS, a.P99MS, a.MaxMS, b.P50MS, b.P90MS, b.P99MS, b.MaxMS)
 	}
-	r.writeRefusals(tw)
 }
 
 func (r Report) writeRefusals(w io.Writer) {
