--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -1,9 +1,7 @@
 // Command ibiscrank is the daemon and the operators' and callers' tool of the scheduler.
 package main
 
-import (
-	"github.com/alecthomas/kong"
-)
+import "github.com/alecthomas/kong"
 
 // cli is every command of the program; each runs itself.
 type cli struct {
