--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 test: build
 	$(GO) test -count=1 -timeout 12m ./...
 
+demo: build
+	scripts/demo.sh
+
 fmt: tools
 	$(LINT) fmt ./...
 
--- a/cmd/ibiscrank/load.go
+++ b/cmd/ibiscrank/load.go
@@ -32,6 +32,7 @@
 	Attempts  int           `help:"HTTP requests of one call before it is given up." default:"20"`
 	History   []string      `help:"URL of a history of backend servers to compare with." placeholder:"URL"`
 	JSON      bool          `name:"json" help:"Print the report as JSON."`
+	Report    string        `help:"File for the report as JSON, besides what is printed." type:"path"`
 	Records   string        `help:"File for what came of each request, one JSON object a line." type:"path"`
 }
 
@@ -53,6 +54,9 @@
 	if err := c.writeRecords(report.Records); err != nil {
 		return err
 	}
+	if err := c.writeReport(report); err != nil {
+		return err
+	}
 	if !c.JSON {
 		report.WriteTable(os.Stdout)
 	} else if err := printJSON(report); err != nil {
@@ -61,6 +65,18 @@
 	return report.Err()
 }
 
+// writeReport writes the report as JSON where it was asked for.
+func (c *loadCmd) writeReport(r ibisload.Report) error {
+	if c.Report == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	return errs.Wrap(os.WriteFile(c.Report, b, 0o644))
+}
+
 func (c *loadCmd) options() (ibisload.Options, error) {
 	mix, err := c.mix()
 	if err != nil {
