--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -141,7 +141,7 @@
 	e, err := h.entryFor(ctx, sh, req)
 	if err != nil {
 		h.refused.Inc(1)
-		return nil, err
+		return nil, sh.honest(err, req)
 	}
 	return h.await(ctx, e, time.Duration(req.WaitMS)*time.Millisecond)
 }
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	mu      sync.Mutex
 	state   shardState
 	epoch   int64
-	covered bool // every backend server has been asked since the shard was taken
+	since   time.Time // when this life began
+	covered bool      // every backend server has been asked since the shard was taken
 	entries map[ibiswork.ID]*entry
 	ended   []*entry // in order of their ends, for forgetting
 	ctx     context.Context
@@ -49,7 +51,7 @@
 	if sh.cancel != nil {
 		sh.cancel()
 	}
-	sh.state, sh.epoch, sh.covered = state, epoch, false
+	sh.state, sh.epoch, sh.covered, sh.since = state, epoch, false, time.Now()
 	sh.entries, sh.ended = make(map[ibiswork.ID]*entry), nil
 	sh.ctx, sh.cancel = context.WithCancel(context.Background())
 }
@@ -135,6 +137,25 @@
 		a.Idempotent == b.Idempotent && bytes.Equal(a.Payload, b.Payload)
 }
 
+// honest takes back the promise of a refusal that the request was not run, where an earlier submission
+// of it may have been run for a holder whose memory is lost. Work that is not idempotent is known from the
+// journal.
+func (sh *shard) honest(err error, req *ibiswire.SubmitRequest) error {
+	refusal, ok := errors.AsType[*ibiswork.Refusal](err)
+	if !ok || !refusal.NotRun || req.Fresh || !req.Request.Idempotent {
+		return err
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.epoch > 1 && req.Request.ID.Time().Before(sh.since.Add(clockSkew)) {
+		return refusal.WithMaybeRun()
+	}
+	return err
+}
+
+// clockSkew is how far the clocks of callers and daemons may differ.
+const clockSkew = 1 * time.Minute
+
 // add makes an entry for a request that is not known. Unless the request is fresh, the shard must know of
 // every task that an earlier holder may have started.
 func (sh *shard) add(r ibiswork.Request, fresh bool) (e *entry, added bool, err error) {
