Keep upper limits when a backend server passes between live owners

Cause: a server that a new owner claims has its tasks counted there at once; the old owner, told by the fence, freed them in its own ledger and could admit as much again before the new owner's use was on record. Change: Lose passes what was held for such tasks to a holder of its own in the row, from which the daemon that counts them takes it; Holders and DropAll clear away what is left of dead incarnations and of such holders. Counted and ForgetCounted are gone, since nothing needs them; MoveFrom keeps its flag, without effect. The property test now passes servers between live owners and clears away in the stated order.

--- a/ibisallot/dead.go
+++ b/ibisallot/dead.go
@@ -2,22 +2,60 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 
 	"ibiscrank/ibiscommit"
 	"ibiscrank/ibistable"
+	"ibiscrank/ibiswork"
 )
 
 const (
-	countedPrefix = "allotcounted/"
-	deadTries     = 5 // rounds against concurrent changes of the rows
+	lostPrefix = "lost:" // of holders that stand for tasks whose backend server has a new owner
+	deadTries  = 5       // rounds against concurrent changes of the rows
 )
 
-// MoveFrom takes, from the allotments of a dead incarnation, what is used here beyond the own ones; use
-// that they do not cover is put on record, so that it counts against the limit until it is covered. Call
-// it once Use has counted the tasks of backend servers that were taken over. With counted it also puts
-// on record that this daemon has counted all of its tasks, for Counted. It is repeated after any error.
-func (l *Ledger) MoveFrom(ctx context.Context, dead string, counted bool) error {
+// Lose counts r as no longer used here, because another owner has taken the backend server of these
+// tasks. What was held for them cannot be used here again: the next round passes it to a holder of its
+// own, from which the round of the daemon that counts the tasks takes it.
+func (l *Ledger) Lose(team string, r ibiswork.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(team)
+	r = r.Min(a.used)
+	uncovered := positive(a.used.Sub(a.held(l.self)))
+	a.used = a.used.Sub(r)
+	aside := positive(r.Sub(uncovered))
+	a.cut, a.lost = a.cut.Add(aside), a.lost.Add(aside)
+}
+
+// lostHolder is a holder that no row has had before.
+func (l *Ledger) lostHolder() string {
+	l.losses++
+	return fmt.Sprintf("%s%s:%d", lostPrefix, l.self, l.losses)
+}
+
+// covered is r with use beyond what self holds covered by what others have lost.
+func (r Row) covered(self string, used ibiswork.Resources) Row {
+	var lost []string
+	for id := range r.Held {
+		if strings.HasPrefix(id, lostPrefix) {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	for _, id := range lost {
+		r = r.Move(id, self, used.Sub(r.Held[self]))
+	}
+	return r
+}
+
+// MoveFrom takes, from the allotments of a dead incarnation or of another holder that Holders names, what
+// is used here beyond the own ones; use that they do not cover is put on record, so that it counts against
+// the limit until it is covered. Call it once Use has counted the tasks of backend servers that were
+// taken over. It is repeated after any error. The flag has no effect.
+func (l *Ledger) MoveFrom(ctx context.Context, dead string, _ bool) error {
 	l.rounds.Lock()
 	defer l.rounds.Unlock()
 	var err error
@@ -29,14 +67,7 @@
 			break
 		}
 	}
-	if err != nil || !counted {
-		return err
-	}
-	_, err = ibiscommit.Commit(ctx, l.t, l.fence, ibistable.Put(countedKey(dead, l.self), ibistable.Absent, []byte(l.self)))
-	if ibiscommit.Conflict.Has(err) {
-		return nil
-	}
-	return classify(err)
+	return err
 }
 
 func (l *Ledger) moves(dead string) []change {
@@ -47,49 +78,66 @@
 		held := a.held(l.self)
 		moved := a.row.Shrink(l.self, held).Move(dead, l.self, a.used.Sub(held)).withUsed(l.self, a.used)
 		if moved.Held[dead] != a.row.Held[dead] || moved.Over[l.self] != a.row.Over[l.self] {
-			list = append(list, change{team: team, row: moved})
+			list = append(list, l.withLost(change{team: team, row: moved}, a))
 		}
 	}
 	l.begin(list)
 	return list
 }
 
-func countedKey(dead, self string) string { return countedPrefix + dead + "/" + self }
+// withLost is c with what was lost since the last write passed to a holder of its own.
+func (l *Ledger) withLost(c change, a *account) change {
+	if c.lost = a.lost; !c.lost.IsZero() {
+		c.row = c.row.with(l.lostHolder(), c.lost)
+	}
+	return c
+}
 
-// Counted lists the incarnations whose MoveFrom has put on record that they counted what they took over
-// from the dead one.
-func Counted(ctx context.Context, t ibistable.Table, dead string) ([]string, error) {
-	own := countedPrefix + dead + "/"
-	rows, err := t.Scan(ctx, own, ibistable.PrefixEnd(own), scanPage)
+// Holders lists everything that holds or wants an allotment of any team, in order: live and dead
+// incarnations, and holders of what was lost to new owners of backend servers.
+//
+// What is no live incarnation is cleared away in this order: list the holders; see that every backend
+// server that may run tasks has been claimed by a live daemon, which has counted its tasks; let each live
+// daemon call MoveFrom for the holder; free the rest with DropAll.
+func Holders(ctx context.Context, t ibistable.Table) ([]string, error) {
+	rows, err := scan(ctx, t)
 	if err != nil {
-		return nil, classify(err)
+		return nil, err
 	}
-	ids := make([]string, len(rows))
-	for i, row := range rows {
-		ids[i] = strings.TrimPrefix(row.Key, own)
+	var ids []string
+	for _, r := range rows {
+		for _, m := range []map[string]ibiswork.Resources{r.Held, r.Over, r.Wanted} {
+			for id := range m {
+				ids = append(ids, id)
+			}
+		}
 	}
-	return ids, nil
+	slices.Sort(ids)
+	return slices.Compact(ids), nil
 }
 
-// ForgetCounted removes what Counted lists, once every allotment of the dead incarnation is dropped.
-func ForgetCounted(ctx context.Context, t ibistable.Table, fence ibistable.Write, dead string) error {
-	ids, err := Counted(ctx, t, dead)
-	if err != nil || len(ids) == 0 {
+// DropAll is DropDead for every team.
+func DropAll(ctx context.Context, t ibistable.Table, fence ibistable.Write, dead string) error {
+	rows, err := scan(ctx, t)
+	if err != nil {
 		return err
 	}
-	writes := []ibistable.Write{fence}
-	for _, id := range ids {
-		writes = append(writes, ibistable.Delete(countedKey(dead, id), ibistable.Any))
-	}
-	_, err = t.Commit(ctx, writes...)
-	if ibistable.Conflict.Has(err) {
-		return Fenced.Wrap(err)
+	for _, r := range rows {
+		if r.has(dead) {
+			if err := DropDead(ctx, t, fence, r.Team, dead); err != nil {
+				return err
+			}
+		}
 	}
-	return classify(err)
+	return nil
+}
+
+func (r Row) has(id string) bool {
+	return !r.Held[id].IsZero() || !r.Over[id].IsZero() || !r.Wanted[id].IsZero()
 }
 
-// DropDead frees what a dead incarnation still holds and wants of one team, once every owner of its tasks
-// has counted them. It returns nil when there is nothing to free.
+// DropDead frees what a dead incarnation, or another holder, still holds and wants of one team. It returns
+// nil when there is nothing to free. See Holders for when that is safe.
 func DropDead(ctx context.Context, t ibistable.Table, fence ibistable.Write, team, dead string) error {
 	for {
 		row, err := t.Get(ctx, Key(team))
@@ -103,7 +151,7 @@
 		if err != nil {
 			return err
 		}
-		if r.Held[dead].IsZero() && r.Wanted[dead].IsZero() {
+		if !r.has(dead) {
 			return nil
 		}
 		w, err := r.Drop(dead).put()
--- a/ibisallot/ledger.go
+++ b/ibisallot/ledger.go
@@ -58,6 +58,7 @@
 
 	rounds   sync.Mutex // held during Sync and MoveFrom
 	lastScan time.Time
+	losses   int
 	stale    bool // the rows are read again before the next decision
 
 	mu       sync.Mutex
@@ -72,6 +73,7 @@
 	limit  ibiswork.Resources
 	yield  ibiswork.Resources // to give up as tasks end
 	cut    ibiswork.Resources // given up here, not yet in the row
+	lost   ibiswork.Resources // used until new owners took the servers, not yet in the row
 	unmet  ibiswork.Resources
 	lump   ibiswork.Resources // what was unused when unmet was set: all of unmet needs more at once
 	wanted time.Time          // when unmet was last set
--- a/ibisallot/ledger_test.go
+++ b/ibisallot/ledger_test.go
@@ -213,3 +213,51 @@
 	seconds := int((rounds * round).Seconds())
 	assert.Assert(t, f.table.Reads()-reads <= 7*2*seconds, "%d reads in %d s", f.table.Reads()-reads, seconds)
 }
+
+func TestLateWriteIsReckonedWith(t *testing.T) {
+	f := newFleet(2)
+	lim := limits(slots(10))
+	a, b := f.ledgers["i-0"], f.ledgers["i-1"]
+	sync := func(l *Ledger) error {
+		f.now = f.now.Add(round)
+		return l.Sync(ctx, lim, f.ids)
+	}
+	a.Want("team", slots(10))
+	assert.NilError(t, sync(a))
+	assert.Equal(t, a.Snapshot()["team"].Held, slots(10))
+	a.Want("team", slots(0))
+	b.Want("team", slots(8))
+	assert.NilError(t, sync(b))
+	f.table.Inject(ibistablefake.Late, ibistablefake.Refused)
+	assert.Assert(t, Unknown.Has(sync(a)), "gives up 8")
+	assert.Assert(t, Unavailable.Has(sync(a)), "has read the row again, which is as before")
+	assert.Assert(t, !a.TryUse("team", slots(3)), "the write may still take effect")
+	f.table.ApplyLate()
+	b.Want("team", slots(8))
+	assert.NilError(t, sync(b))
+	assert.Assert(t, b.TryUse("team", slots(8)))
+	assert.NilError(t, sync(a))
+	assert.Assert(t, a.TryUse("team", slots(2)))
+}
+
+func TestTakenOverTasksKeepTheirAllotment(t *testing.T) {
+	f := newFleet(3)
+	lim := limits(slots(12))
+	old, taker := f.ledgers["i-0"], f.ledgers["i-1"]
+	for f.fill("i-0", 12) == 0 {
+		f.sync(t, lim)
+	}
+	taker.Use("team", slots(5)) // it has claimed a server with five tasks
+	old.Lose("team", slots(5))
+	for range 10 {
+		assert.Assert(t, !old.TryUse("team", slots(1)))
+		assert.Assert(t, !f.ledgers["i-2"].TryUse("team", slots(1)))
+		old.Want("team", slots(5))
+		f.ledgers["i-2"].Want("team", slots(5))
+		f.sync(t, lim)
+	}
+	assert.Equal(t, taker.Snapshot()["team"].Held, slots(5))
+	holders, err := Holders(ctx, f.table)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, holders, f.ids)
+}
--- a/ibisallot/plan.go
+++ b/ibisallot/plan.go
@@ -96,6 +96,7 @@
 	used   ibiswork.Resources
 	unmet  ibiswork.Resources
 	lump   ibiswork.Resources
+	lost   ibiswork.Resources // which the write passes to another holder
 	idle   bool
 	repeat bool  // write the row even when nothing changes
 	turn   int64 // the order of the daemons differs from turn to turn
@@ -118,32 +119,35 @@
 }
 
 func (s state) decide() decision {
+	before := s.row
+	s.row = s.row.Shrink(s.self, s.held).covered(s.self, s.used)
+	s.held = s.row.Held[s.self]
 	var first ibiswork.Resources
 	for inc, a := range s.row.Wanted {
 		if s.row.Whole[inc] && s.before(inc) && slices.Contains(s.live, inc) {
 			first = first.Add(a)
 		}
 	}
-	limit, sum, row := amounts(s.limit), amounts(s.row.Sum().Sub(s.row.Over[s.self])), amounts(s.row.Held[s.self])
+	limit, sum, row := amounts(s.limit), amounts(s.row.Sum().Sub(s.row.Over[s.self]).Add(s.lost)), amounts(s.row.Held[s.self])
 	held, used, unmet := amounts(s.held), amounts(s.used), amounts(s.unmet)
-	others, before, lump := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first), amounts(s.lump)
+	others, ahead, lump := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first), amounts(s.lump)
 	var target, yield, wanted [4]int64
 	for i := range limit {
 		target[i], yield[i] = kind{
 			limit: limit[i], daemons: int64(max(1, len(s.live))), sum: sum[i], row: row[i], held: held[i],
-			used: used[i], unmet: unmet[i], others: others[i], first: before[i], lump: lump[i], idle: s.idle,
+			used: used[i], unmet: unmet[i], others: others[i], first: ahead[i], lump: lump[i], idle: s.idle,
 		}.decide()
 		wanted[i] = max(0, min(used[i]+unmet[i], limit[i])-target[i])
 	}
 	d := decision{target: resources(target), yield: resources(yield)}
 	d.row = s.row.with(s.self, d.target).withUsed(s.self, s.used)
+	d.write = s.repeat || d.target != before.Held[s.self] || d.row.Over[s.self] != before.Over[s.self]
 	w := resources(wanted)
-	if whole := !w.IsZero() && !s.lump.IsZero(); differs(w, s.row.Wanted[s.self]) || whole != s.row.Whole[s.self] {
+	if whole := !w.IsZero() && !s.lump.IsZero(); differs(w, before.Wanted[s.self]) || whole != before.Whole[s.self] {
 		d.row = d.row.withWanted(s.self, w, whole)
 		d.write = true
 	}
-	d.write = d.write || s.repeat || d.target != s.row.Held[s.self] || d.row.Over[s.self] != s.row.Over[s.self]
-	d.urgent = s.repeat || !s.unmet.IsZero() || !positive(s.row.Held[s.self].Sub(d.target)).IsZero()
+	d.urgent = s.repeat || !s.unmet.IsZero() || !positive(before.Held[s.self].Sub(d.target)).IsZero()
 	return d
 }
 
--- a/ibisallot/property_test.go
+++ b/ibisallot/property_test.go
@@ -12,12 +12,18 @@
 	"ibiscrank/ibiswork"
 )
 
-// task is one running task: at an owner, or at a dead one until the heir has counted it.
+// task is one running task. Its heir is the live daemon that will count it: when its owner is dead.
 type task struct {
 	owner, heir string
 	size        ibiswork.Resources
 }
 
+// loss is what an owner does not know yet: another one has taken the backend server of a task.
+type loss struct {
+	owner string
+	size  ibiswork.Resources
+}
+
 // world runs several daemons against one table, and knows all running tasks.
 type world struct {
 	*fleet
@@ -25,9 +31,10 @@
 	limit ibiswork.Resources
 	// seen holds the limits of the last two successful rounds of each daemon: two, because a daemon may
 	// have decided on rows to which another one with the earlier limit added afterwards.
-	seen  map[string][2]ibiswork.Resources
-	tasks []*task
-	dead  map[string][]string // to the survivors that have not counted
+	seen   map[string][2]ibiswork.Resources
+	tasks  []*task
+	losses []loss
+	todo   []func() error // the rest of a clearing
 }
 
 func drawSize(t *rapid.T) ibiswork.Resources {
@@ -67,13 +74,23 @@
 }
 
 func (w *world) end(i int) {
-	k := w.tasks[i]
-	if k.heir == "" {
+	if k := w.tasks[i]; k.heir == "" {
 		w.ledgers[k.owner].Free("team", k.size)
 	}
 	w.tasks = slices.Delete(w.tasks, i, i+1)
 }
 
+// takeOver lets another daemon claim the server of a task: it counts the task at once, and the owner
+// learns of it later.
+func (w *world) takeOver(id string, k *task) {
+	if k.heir != "" || k.owner == id {
+		return
+	}
+	w.ledgers[id].Use("team", k.size)
+	w.losses = append(w.losses, loss{k.owner, k.size})
+	k.owner = id
+}
+
 func (w *world) round(id string) {
 	w.now = w.now.Add(round)
 	err := w.ledgers[id].Sync(ctx, limits(w.limit), w.ids)
@@ -97,41 +114,52 @@
 	for _, o := range w.ids { // what the dead daemon was granted under its limits still counts
 		w.seen[o] = [2]ibiswork.Resources{w.seen[o][0].Max(w.seen[id][0]).Max(w.seen[id][1]), w.seen[o][1]}
 	}
-	w.dead[id] = nil
-	for d := range w.dead {
-		w.dead[d] = slices.Clone(w.ids)
-	}
 	for _, k := range w.tasks {
 		if k.owner == id || k.heir == id {
 			k.heir = rapid.SampledFrom(w.ids).Draw(w.t, "heir")
 		}
 	}
+	w.losses = slices.DeleteFunc(w.losses, func(x loss) bool { return x.owner == id })
+	w.todo = nil
 }
 
-// count lets one survivor count what it inherits from a dead daemon, and frees the rest after the last.
-func (w *world) count(dead, id string) {
-	l := w.ledgers[id]
+// count lets a daemon count the tasks that it inherits from a dead one.
+func (w *world) count(id string) {
 	for _, k := range w.tasks {
-		if k.owner == dead && k.heir == id {
-			l.Use("team", k.size)
+		if k.heir == id {
+			w.ledgers[id].Use("team", k.size)
 			k.owner, k.heir = id, ""
 		}
 	}
-	if l.MoveFrom(ctx, dead, true) != nil {
+}
+
+// clear goes on with clearing away what no live daemon holds, in the order that Holders names.
+func (w *world) clear() {
+	if len(w.todo) > 0 {
+		if w.todo[0]() == nil {
+			w.todo = w.todo[1:]
+		}
+		return
+	}
+	holders, err := Holders(ctx, w.table)
+	if err != nil || slices.ContainsFunc(w.tasks, func(k *task) bool { return k.heir != "" }) {
 		return
 	}
-	w.dead[dead] = slices.DeleteFunc(w.dead[dead], func(o string) bool { return o == id })
-	if len(w.dead[dead]) == 0 {
-		if err := DropDead(ctx, w.table, l.fence, "team", dead); err != nil {
-			w.dead[dead] = []string{id}
+	for _, h := range holders {
+		if slices.Contains(w.ids, h) {
+			continue
 		}
+		for _, id := range w.ids {
+			w.todo = append(w.todo, func() error { return w.ledgers[id].MoveFrom(ctx, h, false) })
+		}
+		w.todo = append(w.todo, func() error { return DropAll(ctx, w.table, w.ledgers[w.ids[0]].fence, h) })
 	}
 }
 
 func (w *world) step() {
 	t := w.t
 	id := rapid.SampledFrom(w.ids).Draw(t, "daemon")
-	switch rapid.IntRange(0, 11).Draw(t, "step") {
+	switch rapid.IntRange(0, 15).Draw(t, "step") {
 	case 0, 1, 2:
 		w.start(id, drawSize(t))
 	case 3, 4:
@@ -147,16 +175,24 @@
 	case 9:
 		w.table.ApplyLate()
 	case 10:
-		if len(w.ids) > 1 && rapid.IntRange(0, 3).Draw(t, "kill") == 0 {
+		if len(w.ids) > 1 && rapid.Bool().Draw(t, "kill") {
 			w.kill(id)
 		} else {
 			w.limit = ibiswork.Resources{MilliCPU: rapid.Int64Range(0, 20).Draw(t, "limit"), Slots: rapid.Int64Range(0, 20).Draw(t, "limit")}
 		}
 	case 11:
-		for dead, left := range w.dead {
-			if slices.Contains(left, id) {
-				w.count(dead, id)
-			}
+		w.count(id)
+	case 12, 13:
+		w.clear()
+	case 14:
+		if len(w.tasks) > 0 {
+			w.takeOver(id, rapid.SampledFrom(w.tasks).Draw(t, "taken"))
+		}
+	case 15:
+		if len(w.losses) > 0 {
+			x := w.losses[0]
+			w.losses = w.losses[1:]
+			w.ledgers[x.owner].Lose("team", x.size)
 		}
 	}
 }
@@ -167,8 +203,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
 			fleet: newFleet(rapid.IntRange(2, 5).Draw(t, "daemons")), t: t,
-			limit: ibiswork.Resources{MilliCPU: 20, Slots: 12},
-			seen:  make(map[string][2]ibiswork.Resources), dead: make(map[string][]string),
+			limit: ibiswork.Resources{MilliCPU: 20, Slots: rapid.Int64Range(1, 12).Draw(t, "limit")},
+			seen:  make(map[string][2]ibiswork.Resources),
 		}
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			w.step()
--- a/ibisallot/sync.go
+++ b/ibisallot/sync.go
@@ -23,6 +23,7 @@
 	team    string
 	row     Row
 	cut     ibiswork.Resources // of the account when the row was decided
+	lost    ibiswork.Resources // of the account when the row was decided
 	bound   ibiswork.Resources // of the account before
 	bounded bool
 	urgent  bool
@@ -135,12 +136,12 @@
 		}
 		a.active, a.fresh = false, false
 		d := state{
-			row: a.row, self: l.self, live: live, limit: a.limit, held: a.held(l.self), used: a.used, unmet: a.unmet, lump: a.lump,
+			row: a.row, self: l.self, live: live, limit: a.limit, held: a.held(l.self), used: a.used, unmet: a.unmet, lump: a.lump, lost: a.lost,
 			idle: now.Sub(a.moved) > idleAfter && now.Sub(a.wrote) > idleAfter, repeat: a.bounded,
 			turn: now.UnixNano() / int64(turn),
 		}.decide()
 		a.yield = d.yield
-		if d.write {
+		if d.write || !a.lost.IsZero() {
 			list = append(list, change{team: team, row: d.row, urgent: d.urgent, wrote: a.wrote})
 		}
 	}
@@ -155,6 +156,9 @@
 		return a.team < b.team
 	})
 	list = list[:min(len(list), roundRows)]
+	for i, c := range list {
+		list[i] = l.withLost(c, l.accounts[c.team])
+	}
 	l.begin(list)
 	return list
 }
@@ -226,6 +230,7 @@
 		a.row, a.wrote, a.bounded = c.row, l.now(), false
 		a.row.Version = version
 		a.cut = positive(a.cut.Sub(c.cut))
+		a.lost = positive(a.lost.Sub(c.lost))
 	}
 }
 
