--- a/ibisconfig/rows.go
+++ b/ibisconfig/rows.go
@@ -26,11 +26,11 @@
 // published yet.
 func (s *Snapshot) setRow(key string, value []byte) error {
 	if name, ok := strings.CutPrefix(key, teamPrefix); ok {
-		return setItem(s.Teams, name, value, func(t *Team) error { return t.Check() })
+		return setItem(s.Teams, name, value, func(t *Team) error { return named(t.Name, name, t.Check()) })
 	}
 	if name, ok := strings.CutPrefix(key, operatorPrefix); ok {
 		rows := make(map[string]operatorRow)
-		if err := setItem(rows, name, value, func(o *operatorRow) error { return o.Key.Check() }); err != nil {
+		if err := setItem(rows, name, value, func(o *operatorRow) error { return o.check(name) }); err != nil {
 			return err
 		}
 		if o, ok := rows[name]; ok {
@@ -43,7 +43,7 @@
 	}
 	if name, ok := strings.CutPrefix(key, asidePrefix); ok {
 		rows := make(map[string]asideRow)
-		if err := setItem(rows, name, value, func(*asideRow) error { return nil }); err != nil {
+		if err := setItem(rows, name, value, func(a *asideRow) error { return a.check(name) }); err != nil {
 			return err
 		}
 		if a, ok := rows[name]; ok {
@@ -57,6 +57,28 @@
 	return Error.New("row %s is of no known kind", key)
 }
 
+func (o *operatorRow) check(name string) error {
+	if !nameForm.MatchString(name) {
+		return Error.New("%q is not a name", name)
+	}
+	return named(o.Name, name, o.Key.Check())
+}
+
+func (a *asideRow) check(name string) error {
+	if !serverForm.MatchString(name) || len(a.Reason) > MaxReasonBytes {
+		return Error.New("not a name of a backend server, or the reason is too long")
+	}
+	return named(a.Server, name, nil)
+}
+
+// named reports an item that stands under the name of another, or else err.
+func named(have, want string, err error) error {
+	if have != want {
+		return Error.New("the item is named %q", have)
+	}
+	return err
+}
+
 // setItem decodes and checks value into m, or removes the item when value is empty.
 func setItem[T any](m map[string]T, name string, value []byte, check func(*T) error) error {
 	if len(value) == 0 {
