--- a/ibisdaemon/clean.go
+++ b/ibisdaemon/clean.go
@@ -31,15 +31,43 @@
 	if err != nil {
 		return
 	}
-	rows = slices.DeleteFunc(rows, func(r ibisincarnation.Row) bool { return r.State == ibisincarnation.Live })
-	if len(rows) == 0 || !n.allClaimed(ctx) {
+	var over []string
+	live := make(map[string]bool)
+	for _, r := range rows {
+		if live[r.ID] = r.State == ibisincarnation.Live; !live[r.ID] {
+			over = append(over, r.ID)
+		}
+	}
+	holders, err := ibisallot.Holders(ctx, n.table)
+	if err != nil {
 		return
 	}
-	for _, r := range rows {
-		if err := n.clear(ctx, r.ID); err != nil {
-			log.WithFields(log.Fields{"incarnation": r.ID, "error": err}).Debug("IncarnationNotCleared")
+	holders = slices.DeleteFunc(holders, func(id string) bool { return live[id] })
+	if len(over)+len(holders) == 0 || !n.allClaimed(ctx) {
+		return
+	}
+	for _, id := range holders {
+		if err := n.freeAllotments(ctx, id); err != nil {
+			log.WithFields(log.Fields{"holder": id, "error": err}).Debug("AllotmentsNotFreed")
+			return
+		}
+	}
+	for _, id := range over {
+		if err := n.clear(ctx, id); err != nil {
+			log.WithFields(log.Fields{"incarnation": id, "error": err}).Debug("IncarnationNotCleared")
+		}
+	}
+}
+
+// freeAllotments lets every daemon take what its tasks need of a holder that is over, and frees the rest.
+func (n *node) freeAllotments(ctx context.Context, holder string) error {
+	for _, m := range n.view().Members {
+		_, err := ibisrpc.Call[ibiswire.SettleReply](ctx, n.pool, m.Digest.Row.Address, ibiswire.MethodSettle, &ibiswire.SettleRequest{Dead: holder})
+		if err != nil {
+			return Error.Wrap(err)
 		}
 	}
+	return Error.Wrap(ibisallot.DropAll(ctx, n.table, n.inc.Fence(), holder))
 }
 
 // allClaimed reports whether each backend server that may run tasks has been claimed by a live daemon:
@@ -64,20 +92,9 @@
 	return len(vms) > 0
 }
 
-// clear frees the allotments of an incarnation that is over, and deletes its journal and rows once no
+// clear deletes the journal and the rows of an incarnation that is over and holds no allotments, once no
 // shard needs them.
 func (n *node) clear(ctx context.Context, dead string) error {
-	for _, m := range n.view().Members {
-		_, err := ibisrpc.Call[ibiswire.SettleReply](ctx, n.pool, m.Digest.Row.Address, ibiswire.MethodSettle, &ibiswire.SettleRequest{Dead: dead})
-		if err != nil {
-			return Error.Wrap(err)
-		}
-	}
-	for team := range n.config.Snapshot().Teams {
-		if err := ibisallot.DropDead(ctx, n.table, n.inc.Fence(), team, dead); err != nil {
-			return Error.Wrap(err)
-		}
-	}
 	rows, err := ibisshard.List(ctx, n.table, n.settings.Shards)
 	if err != nil {
 		return Error.Wrap(err)
--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -56,6 +56,8 @@
 	Use(team string, r ibiswork.Resources)
 	Free(team string, r ibiswork.Resources)
 	Want(team string, r ibiswork.Resources)
+	// Lose frees the use of a task that goes on under another owner; it may not be used again here.
+	Lose(team string, r ibiswork.Resources)
 }
 
 // Directory tells who holds a shard.
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -103,7 +103,11 @@
 			o.end(t, o.event(t, ibiswire.TaskLost))
 			continue
 		}
-		o.uncount(t)
+		if t.sent || t.started {
+			o.uncountBy(t, o.cfg.Ledger.Lose)
+		} else {
+			o.uncount(t)
+		}
 		delete(o.tasks, t.id)
 		o.endItem(t)
 	}
--- a/ibisowner/task.go
+++ b/ibisowner/task.go
@@ -31,13 +31,16 @@
 }
 
 // uncount frees what t takes of its server and of its team's upper limit.
-func (o *Owner) uncount(t *task) {
+func (o *Owner) uncount(t *task) { o.uncountBy(t, o.cfg.Ledger.Free) }
+
+// uncountBy is uncount with the way in which the team's upper limit is freed.
+func (o *Owner) uncountBy(t *task, free func(team string, r ibiswork.Resources)) {
 	if !t.counted {
 		return
 	}
 	t.counted = false
 	o.fleet.Use(t.server, ibiswork.Resources{}.Sub(t.size))
-	o.cfg.Ledger.Free(t.meta.Team, t.size)
+	free(t.meta.Team, t.size)
 	o.queue.Charge(t.meta.Team, ibiswork.Resources{}.Sub(t.size))
 	if s := o.servers[t.server]; s != nil {
 		s.count--
