--- a/ibisdaemon/daemon.go
+++ b/ibisdaemon/daemon.go
@@ -20,6 +20,7 @@
 	"ibiscrank/ibisburn"
 	"ibiscrank/ibisconfig"
 	"ibiscrank/ibisholder"
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibisincarnation"
 	"ibiscrank/ibisjournal"
 	"ibiscrank/ibisowner"
@@ -98,7 +99,9 @@
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { clean(); return nil }})
 }
 
-func newTable(s ibissettings.Settings) ibistable.Table { return ibistable.NewClient(s.Table, nil) }
+func newTable(s ibissettings.Settings, r metrics.Registry) ibistable.Table {
+	return ibistable.NewClient(s.Table, nil, ibishttp.WithMeter(ibishttp.NewMeter("Table", r)))
+}
 
 func newVMList(lc fx.Lifecycle, s ibissettings.Settings) ibisserver.VMList {
 	c, stop := ibisserver.NewVMClient(s.VMList)
@@ -106,8 +109,8 @@
 	return c
 }
 
-func newPool(lc fx.Lifecycle) *ibisrpc.Pool {
-	p, stop := ibisrpc.NewPool()
+func newPool(lc fx.Lifecycle, r metrics.Registry) *ibisrpc.Pool {
+	p, stop := ibisrpc.NewPool(r)
 	onStop(lc, stop)
 	return p
 }
@@ -229,9 +232,10 @@
 }
 
 func (n *node) startOwner(lc fx.Lifecycle) {
+	meter := ibishttp.WithMeter(ibishttp.NewMeter("Servers", n.registry))
 	o, stop := ibisowner.New(ibisowner.Config{
 		Self: n.inc.ID(), Lease: time.Duration(n.settings.LeaseMS) * time.Millisecond, Shards: n.settings.Shards,
-		Dial: func(addr string) (ibisserver.Server, func()) { return ibisserver.NewClient(addr) },
+		Dial: func(addr string) (ibisserver.Server, func()) { return ibisserver.NewClient(addr, meter) },
 		Pool: n.pool, Ledger: wakingLedger{n.ledger, n.kick}, Directory: n.holder, Snapshot: n.config.Snapshot,
 		HasNews: n.hasNews, Metrics: n.registry,
 	})
--- a/ibisdaemon/frontend.go
+++ b/ibisdaemon/frontend.go
@@ -48,7 +48,7 @@
 		return nil, Error.Wrap(err)
 	}
 	f.http = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	f.rpc = ibisrpc.NewServer(n.methods()...)
+	f.rpc = ibisrpc.NewServer(n.registry, n.methods()...)
 	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.stop})
 	return f, nil
 }
--- a/ibishttp/http.go
+++ b/ibishttp/http.go
@@ -38,14 +38,18 @@
 )
 
 // NewTransport opens at most conns connections to each address and closes idle ones after a while.
-func NewTransport(conns int) *http.Transport {
-	return &http.Transport{
+func NewTransport(conns int, opts ...Option) *http.Transport {
+	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Reply is what came of a call. Sent is false only when no byte of the request can have left.
--- a/ibisrpc/pool.go
+++ b/ibisrpc/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -25,6 +26,7 @@
 	mu     sync.Mutex
 	conns  map[string]*conn
 	closed bool
+	stats  grpc.DialOption
 }
 
 type conn struct {
@@ -39,9 +41,9 @@
 	c.calls.Add(-1)
 }
 
-// NewPool makes an empty pool; the second result closes all of its connections.
-func NewPool() (*Pool, func()) {
-	p := &Pool{conns: make(map[string]*conn)}
+// NewPool makes an empty pool that counts its calls in r; the second result closes all of its connections.
+func NewPool(r metrics.Registry) (*Pool, func()) {
+	p := &Pool{conns: make(map[string]*conn), stats: grpc.WithStatsHandler(meter{"RpcOut", r})}
 	return p, p.close
 }
 
@@ -72,6 +74,7 @@
 			MinConnectTimeout: PingTimeout,
 		}),
 		grpc.WithNoProxy(),
+		p.stats,
 		grpc.WithDisableServiceConfig(),
 	)
 	if err != nil {
--- a/ibisrpc/rpc.go
+++ b/ibisrpc/rpc.go
@@ -5,10 +5,10 @@
 //
 // Usage:
 //
-//	srv := ibisrpc.NewServer(ibisrpc.Unary("Place", owner.Place))
+//	srv := ibisrpc.NewServer(registry, ibisrpc.Unary("Place", owner.Place))
 //	go srv.Serve(listener)
 //
-//	pool, stop := ibisrpc.NewPool()
+//	pool, stop := ibisrpc.NewPool(registry)
 //	defer stop()
 //	reply, err := ibisrpc.Call[PlaceReply](ctx, pool, "10.0.0.3:7100", "Place", req)
 package ibisrpc
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -70,9 +71,9 @@
 	}
 }
 
-// NewServer serves the methods and the ping that Pool sends.
-func NewServer(methods ...grpc.MethodDesc) *grpc.Server {
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
+// NewServer serves the methods and the ping that Pool sends, and counts the calls in r.
+func NewServer(r metrics.Registry, methods ...grpc.MethodDesc) *grpc.Server {
+	s := grpc.NewServer(grpc.StatsHandler(meter{"RpcIn", r}), grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
 	methods = append(methods, Unary("Ping", func(context.Context, *ping) (*ping, error) { return &ping{}, nil }))
 	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods}, struct{}{})
 	return s
--- a/ibisserver/client.go
+++ b/ibisserver/client.go
@@ -29,8 +29,8 @@
 
 // NewClient makes a client of the server at address, an IP number and port. The clean-up closes its idle
 // connections.
-func NewClient(address string) (*Client, func()) {
-	h := &http.Client{Transport: ibishttp.NewTransport(maxConns)}
+func NewClient(address string, opts ...ibishttp.Option) (*Client, func()) {
+	h := &http.Client{Transport: ibishttp.NewTransport(maxConns, opts...)}
 	return &Client{base: "http://" + address, http: h}, h.CloseIdleConnections
 }
 
--- a/ibistable/client.go
+++ b/ibistable/client.go
@@ -24,10 +24,10 @@
 var _ Table = (*Client)(nil)
 
 // NewClient makes a client of the service at base, for example "http://127.0.0.1:7000". A nil h stands
-// for a client of its own with few connections.
-func NewClient(base string, h *http.Client) *Client {
+// for a client of its own with few connections, to which the options apply.
+func NewClient(base string, h *http.Client, opts ...ibishttp.Option) *Client {
 	if h == nil {
-		h = &http.Client{Transport: ibishttp.NewTransport(maxConns)}
+		h = &http.Client{Transport: ibishttp.NewTransport(maxConns, opts...)}
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: h}
 }
