--- a/ibisadmin/admin.go
+++ b/ibisadmin/admin.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -120,9 +121,8 @@
 	if err := g.Wait(); err != nil {
 		v.FleetErr = err.Error()
 	}
-	v.Overview.sort()
-	v.Overview.Alerts = append(v.Overview.Alerts, evaluateAlerts(v)...)
-	sortAlerts(v.Overview.Alerts)
+	v.Overview = v.Overview.sorted()
+	v.Overview.Alerts = sortedAlerts(append(slices.Clone(v.Overview.Alerts), evaluateAlerts(v)...))
 	return v
 }
 
--- a/ibisadmin/alerts.go
+++ b/ibisadmin/alerts.go
@@ -102,8 +102,10 @@
 	return firing
 }
 
-func sortAlerts(list []Alert) {
+// sortedAlerts puts the gravest first.
+func sortedAlerts(list []Alert) []Alert {
 	slices.SortStableFunc(list, func(a, b Alert) int { return cmp.Compare(gravity[a.Severity], gravity[b.Severity]) })
+	return list
 }
 
 func servers(wrong func(BackendServer) bool) condition {
--- a/ibisadmin/bench_test.go
+++ b/ibisadmin/bench_test.go
@@ -40,7 +40,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		v.Burn = ibisburn.Evaluate(v.Config, ibisburn.Merge(parts...), nil, now)
-		v.Overview.sort()
+		v.Overview = v.Overview.sorted()
 		if len(evaluateAlerts(v)) == 0 {
 			b.Fatal("no alert")
 		}
--- a/ibisadmin/overview.go
+++ b/ibisadmin/overview.go
@@ -83,11 +83,12 @@
 // limitUse is the largest part of the team's upper limit that is running.
 func (t TeamLoad) limitUse() float64 { return t.Running.Dominant(t.UpperLimit) }
 
-// sort orders every list by name.
-func (o *Overview) sort() {
-	slices.SortFunc(o.Daemons, func(a, b Daemon) int {
+// sorted is o with every list ordered by name. The lists of o stay as they are.
+func (o Overview) sorted() Overview {
+	o.Daemons = slices.SortedFunc(slices.Values(o.Daemons), func(a, b Daemon) int {
 		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	slices.SortFunc(o.Servers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(o.Teams, func(a, b TeamLoad) int { return cmp.Compare(a.Name, b.Name) })
+	o.Servers = slices.SortedFunc(slices.Values(o.Servers), func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	o.Teams = slices.SortedFunc(slices.Values(o.Teams), func(a, b TeamLoad) int { return cmp.Compare(a.Name, b.Name) })
+	return o
 }
--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -173,7 +173,9 @@
 		return
 	}
 	log.WithFields(log.Fields{"operator": operator}).Info("OperatorLogin")
-	a.setCookie(w, key, sessionSeconds, r.TLS != nil)
+	// A balancer that ends TLS says so; to believe it only makes the cookie stricter.
+	secure := r.TLS != nil || r.Header.Get("X-Forwarded-Proto") == "https"
+	a.setCookie(w, key, sessionSeconds, secure)
 	http.Redirect(w, r, "/ops", http.StatusSeeOther)
 }
 
--- a/ibisconfig/apply.go
+++ b/ibisconfig/apply.go
@@ -126,7 +126,7 @@
 }
 
 // writes is the transaction of one change: the head, the item, the audit entry and the row that a
-// repeat finds. Past AuditRetention it also removes the oldest entry.
+// repeat finds. Past the retention it also removes the oldest entry.
 func (s *Store) writes(ctx context.Context, h head, c Change, e edit, version int64) ([]ibistable.Write, error) {
 	a, err := e.audit(c, version)
 	if err != nil {
@@ -154,7 +154,7 @@
 		ibistable.Put(auditKey(version), ibistable.Absent, entry),
 		ibistable.Put(changePrefix+c.ID, ibistable.Absent, entry),
 	}
-	if old, err := s.readAudit(ctx, version-AuditRetention); err == nil {
+	if old, err := s.readAudit(ctx, version-s.retention); err == nil {
 		ws = append(ws, ibistable.Delete(auditKey(old.Version), ibistable.Any), ibistable.Delete(changePrefix+old.Change, ibistable.Any))
 	}
 	return ws, nil
--- a/ibisconfig/store.go
+++ b/ibisconfig/store.go
@@ -47,13 +47,14 @@
 	mu        sync.Mutex // serializes publications
 	current   atomic.Pointer[Snapshot]
 	bootstrap KeyHash
+	retention int64              // versions that the audit list keeps
 	later     map[KeyHash]Change // withdrawals that this store accepted while the table was away
 	skipped   map[KeyHash]int    // how often a withdrawal was left to the store that accepted it
 }
 
 // NewStore makes a store that knows nothing yet.
 func NewStore(t ibistable.Table) *Store {
-	s := &Store{table: t}
+	s := &Store{table: t, retention: AuditRetention}
 	s.current.Store((&Snapshot{}).clone().Indexed())
 	return s
 }
--- a/ibisconfig/store_test.go
+++ b/ibisconfig/store_test.go
@@ -187,6 +187,22 @@
 	assert.DeepEqual(t, a.Snapshot().Teams, b.Snapshot().Teams)
 }
 
+func TestAuditListIsBounded(t *testing.T) {
+	const retention, changes = 5, 20
+	table := ibistablefake.New()
+	s := NewStore(table)
+	s.retention = retention
+	for i := range changes {
+		mustApply(t, s, putTeam("team", float64(i+1)))
+	}
+	// The head, the team, and for each version kept its audit entry and the row of its change.
+	assert.Equal(t, table.Len(), 2+2*retention)
+	entries, err := s.Audit(t.Context(), 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), retention)
+	assert.Equal(t, entries[0].Version, s.Snapshot().Version)
+}
+
 func TestDenySet(t *testing.T) {
 	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
