--- a/ibisclient/caller.go
+++ b/ibisclient/caller.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -61,6 +60,7 @@
 	observe  func(Attempt)
 	sleep    func(ctx context.Context, d time.Duration) error
 	jitter   func() float64 // from 0 to 1
+	now      func() time.Time
 }
 
 // CallerOption changes a default of a Caller.
@@ -92,6 +92,7 @@
 		observe:  func(Attempt) {},
 		sleep:    sleep,
 		jitter:   rand.Float64,
+		now:      time.Now,
 	}
 	for _, d := range daemons {
 		if !strings.Contains(d, "://") {
@@ -116,34 +117,31 @@
 }
 
 // Submit submits r and waits at most wait for its end. A negative wait leaves the time to the daemon.
-// A request without an ID is given one, so that every attempt carries the same.
+// A request without an ID is given one, so that every attempt carries the same. Its deadline counts from
+// the first attempt.
 // Any error is a *ibiswork.Refusal; NotRun holds for all submissions that were made.
 func (c *Caller) Submit(ctx context.Context, r ibiswork.Request, wait time.Duration) (ibiswork.Status, error) {
 	if r.ID == "" {
 		r.ID = ibiswork.NewID()
 	}
-	body, err := json.Marshal(r)
-	if err != nil {
-		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
-	}
 	path := "/v1/requests"
 	if wait >= 0 {
 		path += "?WaitMS=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	} else {
 		wait = longestWait
 	}
-	return c.call(ctx, exchange{http.MethodPost, path, body, r.ID, wait})
+	return c.call(ctx, exchange{method: http.MethodPost, path: path, request: &r, id: r.ID, wait: wait, begin: c.now()})
 }
 
 // Status asks for the state of a request and waits at most wait for its end.
 func (c *Caller) Status(ctx context.Context, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
 	path := "/v1/requests/" + string(id) + "?WaitMS=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	return c.call(ctx, exchange{http.MethodGet, path, nil, id, wait})
+	return c.call(ctx, exchange{method: http.MethodGet, path: path, id: id, wait: wait})
 }
 
 // Cancel cancels a request.
 func (c *Caller) Cancel(ctx context.Context, id ibiswork.ID) (ibiswork.Status, error) {
-	return c.call(ctx, exchange{http.MethodDelete, "/v1/requests/" + string(id), nil, id, 0})
+	return c.call(ctx, exchange{method: http.MethodDelete, path: "/v1/requests/" + string(id), id: id})
 }
 
 // Run submits r and waits for its answer until ctx ends.
--- a/ibisclient/caller_test.go
+++ b/ibisclient/caller_test.go
@@ -136,6 +136,27 @@
 	assert.DeepEqual(t, *pauses, []time.Duration{12 * time.Second})
 }
 
+// TestDeadlineCountsFromTheFirstAttempt has each reading of the clock a second after the one before.
+func TestDeadlineCountsFromTheFirstAttempt(t *testing.T) {
+	var deadlines []int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req ibiswork.Request
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&req))
+		deadlines = append(deadlines, req.DeadlineMS)
+		refusing(ibiswork.CodeRecovering, true, 10)(w, r)
+	}))
+	defer srv.Close()
+	c, _ := newCaller(t, []string{srv.URL}, WithAttempts(4))
+	now := time.Unix(0, 0)
+	c.now = func() time.Time {
+		now = now.Add(time.Second)
+		return now
+	}
+	_, err := c.Submit(t.Context(), ibiswork.Request{Class: ibiswork.Interactive, DeadlineMS: 2500}, 0)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
+	assert.DeepEqual(t, deadlines, []int64{1500, 500, 1, 1})
+}
+
 // TestBackoff checks that only refusals for overload make the caller stay away longer and longer.
 func TestBackoff(t *testing.T) {
 	for _, tc := range []struct {
--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -28,9 +28,23 @@
 // exchange is one call, made anew at each attempt.
 type exchange struct {
 	method, path string
-	body         []byte
+	request      *ibiswork.Request // of a submission
 	id           ibiswork.ID
 	wait         time.Duration
+	begin        time.Time // of the first attempt at a submission
+}
+
+// body is what an attempt at that moment sends: the request with what is left of its deadline, but one
+// millisecond at least, so that it is the daemon that answers a request whose deadline has passed.
+func (e exchange) body(now time.Time) ([]byte, error) {
+	if e.request == nil {
+		return nil, nil
+	}
+	r := *e.request
+	if r.DeadlineMS > 0 {
+		r.DeadlineMS = max(1, r.DeadlineMS-now.Sub(e.begin).Milliseconds())
+	}
+	return json.Marshal(r)
 }
 
 // call makes attempts until one succeeds, a refusal says that no retry helps, ctx ends or the attempts
@@ -115,7 +129,11 @@
 func (c *Caller) try(ctx context.Context, daemon string, e exchange) (ibiswork.Status, *ibiswork.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, e.wait+c.grace)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, e.method, daemon+e.path, bytes.NewReader(e.body))
+	body, err := e.body(c.now())
+	if err != nil {
+		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, e.method, daemon+e.path, bytes.NewReader(body))
 	if err != nil {
 		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
 	}
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -8,12 +8,13 @@
 
 	"github.com/gorilla/mux"
 
+	"ibiscrank/ibisconfig"
 	"ibiscrank/ibiswork"
 )
 
 // submit serves POST /v1/requests.
 func (g *Gate) submit(w http.ResponseWriter, r *http.Request) reply {
-	team, keyed, err := g.authenticate(r)
+	from, err := g.authenticate(r)
 	if err != nil {
 		return refuse(err, "")
 	}
@@ -29,10 +30,10 @@
 	if err != nil {
 		return refuse(err, "")
 	}
-	if err := g.checkQueue(req, keyed); err != nil {
+	if err := from.checkQueue(req); err != nil {
 		return refuse(err, req.ID)
 	}
-	req, err = g.complete(req, team)
+	req, err = g.complete(req, from.team)
 	if err != nil {
 		return refuse(err, req.ID)
 	}
@@ -105,33 +106,40 @@
 	return progress(st)
 }
 
-// authenticate finds the team of the caller's key; without a key the team is empty.
-func (g *Gate) authenticate(r *http.Request) (team string, keyed bool, err error) {
+// caller is who sent a request, by the configuration at that moment.
+type caller struct {
+	team  string // empty without a key
+	keyed bool
+	snap  *ibisconfig.Snapshot
+}
+
+// authenticate finds the team of the caller's key.
+func (g *Gate) authenticate(r *http.Request) (caller, error) {
 	key, err := keyOf(r)
 	if err != nil {
-		return "", false, err
+		return caller{}, err
 	}
-	keyed = key != ""
-	if err := g.admission.Accept(keyed); err != nil {
-		return "", keyed, err
+	from := caller{keyed: key != ""}
+	if err := g.admission.Accept(from.keyed); err != nil {
+		return caller{}, err
 	}
-	snap := g.config.Snapshot()
-	if snap == nil {
-		return "", keyed, ibiswork.Refuse(ibiswork.CodeRecovering, "this daemon has no configuration yet")
+	if from.snap = g.config.Snapshot(); from.snap == nil {
+		return caller{}, ibiswork.Refuse(ibiswork.CodeRecovering, "this daemon has no configuration yet")
 	}
-	if !keyed {
-		return "", false, nil
+	if !from.keyed {
+		return from, nil
 	}
-	team, ok := snap.Authenticate(key)
+	team, ok := from.snap.Authenticate(key)
 	if !ok {
-		return "", true, ibiswork.Refuse(ibiswork.CodeUnauthorized, "the key is not in force")
+		return caller{}, ibiswork.Refuse(ibiswork.CodeUnauthorized, "the key is not in force")
 	}
-	return team, true, nil
+	from.team = team
+	return from, nil
 }
 
 // checkQueue refuses work that names no open queue and came without a key, or has both.
-func (g *Gate) checkQueue(req ibiswork.Request, keyed bool) error {
-	if keyed {
+func (c caller) checkQueue(req ibiswork.Request) error {
+	if c.keyed {
 		if req.Queue != "" {
 			return ibiswork.Refuse(ibiswork.CodeBadRequest, "Queue: an open queue takes work without a key only")
 		}
@@ -140,7 +148,7 @@
 	if req.Queue == "" {
 		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "there is neither a key nor an open queue")
 	}
-	if !g.config.Snapshot().Teams[req.Queue].Queue {
+	if !c.snap.Teams[req.Queue].Queue {
 		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "Queue: %q is not an open queue", req.Queue)
 	}
 	return nil
@@ -152,8 +160,8 @@
 	if err := id.Check(); err != nil {
 		return "", "", ibiswork.Refuse(ibiswork.CodeBadRequest, "ID: %v", err)
 	}
-	team, _, err = g.authenticate(r)
-	return team, id, err
+	from, err := g.authenticate(r)
+	return from.team, id, err
 }
 
 // defaultWait is how long a submission waits when its caller does not say.
