--- a/ibisconfig/store_test.go
+++ b/ibisconfig/store_test.go
@@ -152,6 +152,28 @@
 	assert.Equal(t, entries[0].Version, first.Snapshot().Version)
 }
 
+func TestWithdrawnOperatorChangesNothing(t *testing.T) {
+	table := ibistablefake.New()
+	away, other := NewStore(table), NewStore(table)
+	put := func(name string) {
+		mustApply(t, other, change(func(c *Change) {
+			c.PutOperator = &PutOperator{Name: name, Key: Key{Name: "phone", Hash: HashKey(name)}}
+		}))
+	}
+	put("nara")
+	put("otgon")
+	assert.NilError(t, away.Poll(t.Context()))
+	mustApply(t, other, change(func(c *Change) { c.DeleteOperator = "nara" }))
+	_, ok := away.Snapshot().Operator("nara")
+	assert.Assert(t, ok, "the store has not polled yet")
+	c := putTeam("tuul-floor", 1)
+	c.By = HashKey("nara")
+	_, err := away.Apply(t.Context(), c)
+	assert.Assert(t, Unauthorized.Has(err), "%v", err)
+	c.By = HashKey("otgon")
+	mustApply(t, away, c)
+}
+
 func TestLongAbsenceReadsEverything(t *testing.T) {
 	table := ibistablefake.New()
 	a, b := NewStore(table), NewStore(table)
@@ -178,19 +200,41 @@
 	assert.DeepEqual(t, b.Denied(), []KeyHash{HashKey("mill")})
 	assert.Assert(t, !b.Adopt(a.Snapshot()), "the same version was adopted twice")
 
+	accepted := withdrawKey("tuul-floor", "mill")
+	a.ApplyLater(HashKey("mill"), accepted)
+
 	table.SetDown(false)
-	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
 	assert.NilError(t, b.WriteDenied(t.Context(), testTime))
+	assert.Equal(t, len(b.Snapshot().Teams["tuul-floor"].Keys), 1, "a store that did not accept the withdrawal was first")
+	assert.NilError(t, a.WriteDenied(t.Context(), testTime))
+	entries, err := a.Audit(t.Context(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, entries[0].Change, accepted.ID)
+	assert.Equal(t, entries[0].Operator, accepted.Operator)
 	fresh := NewStore(table)
 	assert.NilError(t, fresh.Poll(t.Context()))
 	_, ok = fresh.Snapshot().Authenticate("mill")
 	assert.Assert(t, !ok)
-	_, err := a.Apply(t.Context(), change(func(c *Change) {
+	_, err = a.Apply(t.Context(), change(func(c *Change) {
 		c.AddKey = &AddKey{Team: "tuul-floor", Key: Key{Name: "again", Hash: HashKey("mill")}}
 	}))
 	assert.Assert(t, Invalid.Has(err), "a withdrawn key came back: %v", err)
 }
 
+func TestDenySetIsWrittenWithoutTheStoreThatAcceptedIt(t *testing.T) {
+	table := ibistablefake.New()
+	s := NewStore(table)
+	mustApply(t, s, putTeam("tuul-floor", 1))
+	mustApply(t, s, addKey("tuul-floor", "mill"))
+	s.Deny(HashKey("mill"))
+	for range maxSkips {
+		assert.NilError(t, s.WriteDenied(t.Context(), testTime))
+		assert.Equal(t, len(s.Snapshot().Teams["tuul-floor"].Keys), 1)
+	}
+	assert.NilError(t, s.WriteDenied(t.Context(), testTime))
+	assert.Equal(t, len(s.Snapshot().Teams["tuul-floor"].Keys), 0)
+}
+
 func TestSnapshotEncodes(t *testing.T) {
 	s := NewStore(ibistablefake.New())
 	mustApply(t, s, putTeam("tuul-floor", 1))
