Schedule work of an open queue as that queue's team

Cause: in a trial with processes, a submission to an open queue was refused as Forbidden, there is no team "": the gate left the team empty, and the holder looks up limits by team. An open queue is a team of its own in the configuration. Change: the gate gives such work the queue's name as its team, and asks for it as each open queue. The test that wanted an empty team was wrong and is replaced by a stricter one that asks for the work again. A Caller ends a submission with the last refusal when the next attempt would come after the deadline.

--- a/ibisclient/caller_test.go
+++ b/ibisclient/caller_test.go
@@ -136,25 +136,26 @@
 	assert.DeepEqual(t, *pauses, []time.Duration{12 * time.Second})
 }
 
-// TestDeadlineCountsFromTheFirstAttempt has each reading of the clock a second after the one before.
+// TestDeadlineCountsFromTheFirstAttempt has a pause take as long as it says by the clock of the test.
 func TestDeadlineCountsFromTheFirstAttempt(t *testing.T) {
 	var deadlines []int64
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var req ibiswork.Request
 		assert.Check(t, json.NewDecoder(r.Body).Decode(&req))
 		deadlines = append(deadlines, req.DeadlineMS)
-		refusing(ibiswork.CodeRecovering, true, 10)(w, r)
+		refusing(ibiswork.CodeStoreUnavailable, true, 1000)(w, r)
 	}))
 	defer srv.Close()
-	c, _ := newCaller(t, []string{srv.URL}, WithAttempts(4))
+	c, _ := newCaller(t, []string{srv.URL})
 	now := time.Unix(0, 0)
-	c.now = func() time.Time {
-		now = now.Add(time.Second)
-		return now
+	c.now = func() time.Time { return now }
+	c.sleep = func(_ context.Context, d time.Duration) error {
+		now = now.Add(d)
+		return nil
 	}
-	_, err := c.Submit(t.Context(), ibiswork.Request{Class: ibiswork.Interactive, DeadlineMS: 2500}, 0)
-	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
-	assert.DeepEqual(t, deadlines, []int64{1500, 500, 1, 1})
+	_, err := c.Submit(t.Context(), ibiswork.Request{Class: ibiswork.Interactive, DeadlineMS: 4000}, 0)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeStoreUnavailable)
+	assert.DeepEqual(t, deadlines, []int64{4000, 2500, 1000}) // the fourth would come 4.5 s after the first
 }
 
 // TestBackoff checks that only refusals for overload make the caller stay away longer and longer.
--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -47,8 +47,16 @@
 	return json.Marshal(r)
 }
 
-// call makes attempts until one succeeds, a refusal says that no retry helps, ctx ends or the attempts
-// are used up.
+// tooLate reports whether the deadline of a submission has passed at t.
+func (e exchange) tooLate(t time.Time) bool {
+	if e.request == nil || e.request.DeadlineMS == 0 {
+		return false
+	}
+	return t.Sub(e.begin) >= time.Duration(e.request.DeadlineMS)*time.Millisecond
+}
+
+// call makes attempts until one succeeds, a refusal says that no retry helps, the next would come after
+// the deadline, ctx ends or the attempts are used up.
 func (c *Caller) call(ctx context.Context, e exchange) (ibiswork.Status, error) {
 	if len(c.daemons) == 0 {
 		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeUnreachable, "no daemon is known")
@@ -74,7 +82,8 @@
 		if moved && n < len(c.daemons) {
 			continue
 		}
-		if c.sleep(ctx, c.pause(next, refusal)) != nil {
+		pause := c.pause(next, refusal)
+		if e.tooLate(c.now().Add(pause)) || c.sleep(ctx, pause) != nil {
 			return ibiswork.Status{}, refusal
 		}
 	}
--- a/ibisgate/gate.go
+++ b/ibisgate/gate.go
@@ -34,9 +34,9 @@
 type Scheduler interface {
 	// Submit accepts r and waits at most wait for its end.
 	Submit(ctx context.Context, r ibiswork.Request, wait time.Duration) (ibiswork.Status, error)
-	// Status waits at most wait for the end of a request of the team; team is empty without a key.
+	// Status waits at most wait for the end of a request of the team, or of the open queue of that name.
 	Status(ctx context.Context, team string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error)
-	// Cancel ends a request of the team; team is empty without a key.
+	// Cancel ends a request of the team, or of the open queue of that name.
 	Cancel(ctx context.Context, team string, id ibiswork.ID) (ibiswork.Status, error)
 }
 
--- a/ibisgate/gate_test.go
+++ b/ibisgate/gate_test.go
@@ -247,13 +247,40 @@
 	}
 }
 
-func TestOpenQueueNeedsNoKey(t *testing.T) {
-	_, srv := newServer(t, &fakeScheduler{submit: func(_ context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
-		assert.Check(t, r.Team == "" && r.Queue == "quotes")
-		return echo(r), nil
-	}}, newDaemon())
-	resp, _ := ask(t, http.MethodPost, srv.URL+"/v1/requests", "", `{"Class":"Interactive","Queue":"quotes"}`)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
+// TestOpenQueueIsATeam checks that work without a key is scheduled for the open queue as its team, and
+// that it is found again without a key, while that of keyed teams is not.
+func TestOpenQueueIsATeam(t *testing.T) {
+	known := map[ibiswork.ID]string{}
+	d := newDaemon()
+	d.snap.Teams["another"] = d.snap.Teams["quotes"]
+	_, srv := newServer(t, &fakeScheduler{
+		submit: func(_ context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
+			known[r.ID] = r.Team
+			return ibiswork.Status{ID: r.ID, Stage: ibiswork.Queued}, nil
+		},
+		status: func(_ context.Context, team string, id ibiswork.ID, _ time.Duration) (ibiswork.Status, error) {
+			if known[id] != team {
+				return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeNotFound, "unknown")
+			}
+			return ibiswork.Status{ID: id, Stage: ibiswork.Running}, nil
+		},
+	}, d)
+	for _, tc := range []struct {
+		key, body, team string
+		askedWithoutKey int
+	}{
+		{"", `{"Class":"Batch","Queue":"quotes"}`, "quotes", http.StatusOK},
+		{testKey, `{"Class":"Batch"}`, "floor", http.StatusNotFound},
+	} {
+		resp, _ := ask(t, http.MethodPost, srv.URL+"/v1/requests", tc.key, tc.body)
+		assert.Equal(t, resp.StatusCode, http.StatusAccepted)
+		location := resp.Header.Get("Location")
+		assert.Equal(t, known[ibiswork.ID(location[len("/v1/requests/"):])], tc.team)
+		resp, _ = ask(t, http.MethodGet, srv.URL+location, "", "")
+		assert.Equal(t, resp.StatusCode, tc.askedWithoutKey)
+		resp, _ = ask(t, http.MethodGet, srv.URL+location, testKey, "")
+		assert.Equal(t, resp.StatusCode == http.StatusOK, tc.key == testKey)
+	}
 }
 
 func TestRetryAfterIsRoundedUp(t *testing.T) {
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -30,10 +31,11 @@
 	if err != nil {
 		return refuse(err, "")
 	}
-	if err := from.checkQueue(req); err != nil {
+	team, err := from.teamOf(req)
+	if err != nil {
 		return refuse(err, req.ID)
 	}
-	req, err = g.complete(req, from.team)
+	req, err = g.complete(req, team)
 	if err != nil {
 		return refuse(err, req.ID)
 	}
@@ -65,45 +67,66 @@
 
 // status serves GET /v1/requests/{id}.
 func (g *Gate) status(_ http.ResponseWriter, r *http.Request) reply {
-	team, id, err := g.question(r)
-	if err != nil {
-		return refuse(err, id)
-	}
 	wait, _, err := waitOf(r)
 	if err != nil {
-		return refuse(err, id)
+		return refuse(err, "")
 	}
 	wait = min(wait, MaxPollWait)
-	ctx, cancel := context.WithTimeout(r.Context(), wait+answerGrace)
-	defer cancel()
-	st, err := g.scheduler.Status(ctx, team, id, wait)
-	if err != nil {
-		return refuse(unknownOnTimeout(err), id)
-	}
-	if st.ID != id {
-		return refuse(mismatch(st.ID), id)
+	st, a := g.question(r, func(team string, id ibiswork.ID) (ibiswork.Status, error) {
+		ctx, cancel := context.WithTimeout(r.Context(), wait+answerGrace)
+		defer cancel()
+		return g.scheduler.Status(ctx, team, id, wait)
+	})
+	if a != nil {
+		return *a
 	}
 	return reply{status: http.StatusOK, body: st, label: string(st.Stage)}
 }
 
 // cancel serves DELETE /v1/requests/{id}. It is carried through when the caller goes away.
 func (g *Gate) cancel(_ http.ResponseWriter, r *http.Request) reply {
-	team, id, err := g.question(r)
-	if err != nil {
-		return refuse(err, id)
+	st, a := g.question(r, func(team string, id ibiswork.ID) (ibiswork.Status, error) {
+		ctx, release := outlive(r.Context(), answerGrace)
+		defer release()
+		ctx, cancel := context.WithTimeout(ctx, answerGrace)
+		defer cancel()
+		return g.scheduler.Cancel(ctx, team, id)
+	})
+	if a != nil {
+		return *a
 	}
-	ctx, release := outlive(r.Context(), answerGrace)
-	defer release()
-	ctx, cancel := context.WithTimeout(ctx, answerGrace)
-	defer cancel()
-	st, err := g.scheduler.Cancel(ctx, team, id)
-	if err != nil {
-		return refuse(unknownOnTimeout(err), id)
+	return progress(st)
+}
+
+// question asks about the request that the path names, as each team that the caller may ask for, until
+// one knows it. It returns the status, or the answer that says why there is none.
+func (g *Gate) question(r *http.Request, ask func(team string, id ibiswork.ID) (ibiswork.Status, error)) (ibiswork.Status, *reply) {
+	id := ibiswork.ID(mux.Vars(r)["id"])
+	fail := func(err error, id ibiswork.ID) (ibiswork.Status, *reply) {
+		a := refuse(unknownOnTimeout(err), id)
+		return ibiswork.Status{}, &a
 	}
-	if st.ID != id {
-		return refuse(mismatch(st.ID), id)
+	if err := id.Check(); err != nil {
+		return fail(ibiswork.Refuse(ibiswork.CodeBadRequest, "ID: %v", err), "")
 	}
-	return progress(st)
+	from, err := g.authenticate(r)
+	if err != nil {
+		return fail(err, id)
+	}
+	err = ibiswork.Refuse(ibiswork.CodeUnauthorized, "there is neither a key nor an open queue")
+	for _, team := range from.teams() {
+		var st ibiswork.Status
+		if st, err = ask(team, id); err == nil {
+			if st.ID != id {
+				return fail(mismatch(st.ID), id)
+			}
+			return st, nil
+		}
+		if ibiswork.AsRefusal(err).Code != ibiswork.CodeNotFound {
+			break
+		}
+	}
+	return fail(err, id)
 }
 
 // caller is who sent a request, by the configuration at that moment.
@@ -137,31 +160,37 @@
 	return from, nil
 }
 
-// checkQueue refuses work that names no open queue and came without a key, or has both.
-func (c caller) checkQueue(req ibiswork.Request) error {
+// teamOf is the team for which a request is scheduled: that of the key, or the open queue, which is a team
+// of its own. Work that came with neither, or with both, is refused.
+func (c caller) teamOf(req ibiswork.Request) (string, error) {
 	if c.keyed {
 		if req.Queue != "" {
-			return ibiswork.Refuse(ibiswork.CodeBadRequest, "Queue: an open queue takes work without a key only")
+			return "", ibiswork.Refuse(ibiswork.CodeBadRequest, "Queue: an open queue takes work without a key only")
 		}
-		return nil
+		return c.team, nil
 	}
 	if req.Queue == "" {
-		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "there is neither a key nor an open queue")
+		return "", ibiswork.Refuse(ibiswork.CodeUnauthorized, "there is neither a key nor an open queue")
 	}
 	if !c.snap.Teams[req.Queue].Queue {
-		return ibiswork.Refuse(ibiswork.CodeUnauthorized, "Queue: %q is not an open queue", req.Queue)
+		return "", ibiswork.Refuse(ibiswork.CodeUnauthorized, "Queue: %q is not an open queue", req.Queue)
 	}
-	return nil
+	return req.Queue, nil
 }
 
-// question authenticates a request about earlier work and reads the ID from its path.
-func (g *Gate) question(r *http.Request) (team string, id ibiswork.ID, err error) {
-	id = ibiswork.ID(mux.Vars(r)["id"])
-	if err := id.Check(); err != nil {
-		return "", "", ibiswork.Refuse(ibiswork.CodeBadRequest, "ID: %v", err)
+// teams lists the teams whose requests the caller may ask about: that of the key, or every open queue.
+func (c caller) teams() []string {
+	if c.keyed {
+		return []string{c.team}
 	}
-	from, err := g.authenticate(r)
-	return from.team, id, err
+	var open []string
+	for name, t := range c.snap.Teams {
+		if t.Queue {
+			open = append(open, name)
+		}
+	}
+	slices.Sort(open)
+	return open
 }
 
 // defaultWait is how long a submission waits when its caller does not say.
