--- a/ibisallot/property_test.go
+++ b/ibisallot/property_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibistable"
 	"ibiscrank/ibistablefake"
 	"ibiscrank/ibiswork"
 )
@@ -243,3 +244,17 @@
 		}
 	})
 }
+
+func FuzzDecode(f *testing.F) {
+	w, err := Row{Team: "team", Held: map[string]ibiswork.Resources{"i-1": slots(3)}, Whole: map[string]bool{"i-1": true}}.put()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(w.Value)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := decode(ibistable.Row{Key: Key("team"), Value: b})
+		if err == nil && (r.Check() != nil || r.Team != "team") {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
--- a/ibisincarnation/incarnation.go
+++ b/ibisincarnation/incarnation.go
@@ -174,10 +174,14 @@
 	}
 	_, err = ibiscommit.Commit(ctx, i.t, ibistable.Write{}, ibistable.Put(Key(r.ID), i.version, value))
 	if ibiscommit.Conflict.Has(err) {
-		if _, now, gerr := get(ctx, i.t, r.ID); gerr == nil && now.State == Ended {
+		_, now, gerr := get(ctx, i.t, r.ID)
+		switch {
+		case gerr == nil && now.State == Ended:
 			return nil
+		case gerr == nil || ibistable.NotFound.Has(gerr):
+			return Fenced.Wrap(err)
 		}
-		return Fenced.Wrap(err)
+		return Unknown.Wrap(gerr)
 	}
 	return classify(err)
 }
--- a/ibisjournal/property_test.go
+++ b/ibisjournal/property_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"ibiscrank/ibisincarnation"
@@ -111,3 +112,23 @@
 		m.check(t, records)
 	})
 }
+
+func FuzzRead(f *testing.F) {
+	value, err := cbor.Marshal(batch{Number: 1, Records: []Record{{Request: "r-1", Seq: 1, Body: []byte("a")}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		table := ibistablefake.New()
+		if _, err := table.Commit(context.Background(), ibistable.Put(rowKey("i-1", 0), ibistable.Absent, append([]byte{}, b...))); err != nil {
+			t.Fatal(err)
+		}
+		records, err := Read(context.Background(), table, "i-1")
+		for _, r := range records {
+			if err != nil || r.Request == "" || r.Seq <= 0 || len(r.Body) == 0 {
+				t.Fatalf("%+v, %v", r, err)
+			}
+		}
+	})
+}
