--- a/ibisclient/admin.go
+++ b/ibisclient/admin.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -18,6 +20,7 @@
 	"ibiscrank/ibisadmin"
 	"ibiscrank/ibisburn"
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibiswork"
 )
 
@@ -92,7 +95,8 @@
 	return a.change(ctx, http.MethodDelete, "/teams/"+url.PathEscape(name), ibisadmin.ChangeRequest{ID: id, BasedOn: basedOn})
 }
 
-// IssueKey makes a key for a team. Only its hash is sent, so that a lost reply does not lose the key.
+// IssueKey makes a key for a team. Only its hash is sent, so that a lost reply does not lose the key;
+// it is returned beside an error too, because a change with an unknown outcome may have put it in force.
 func (a *Admin) IssueKey(ctx context.Context, id, team, name string) (key string, reply ibisadmin.ChangeReply, err error) {
 	key = ibisconfig.NewKey()
 	reply, err = a.change(ctx, http.MethodPost, "/teams/"+url.PathEscape(team)+"/keys",
@@ -106,7 +110,8 @@
 		ibisadmin.ChangeRequest{ID: id, BasedOn: ibisconfig.NoCondition})
 }
 
-// PutOperator makes a key for an operator, who is created or whose former key is replaced.
+// PutOperator makes a key for an operator, who is created or whose former key is replaced. The key is
+// returned beside an error too, because a change with an unknown outcome may have put it in force.
 func (a *Admin) PutOperator(ctx context.Context, id, name string) (key string, reply ibisadmin.ChangeReply, err error) {
 	key = ibisconfig.NewKey()
 	reply, err = a.change(ctx, http.MethodPut, "/operators/"+url.PathEscape(name),
@@ -142,6 +147,9 @@
 		req.ID = uuid.Must(uuid.NewV7()).String()
 	}
 	err = a.do(ctx, method, path, req, &reply)
+	if refusal, ok := errors.AsType[*ibisadmin.Refusal](err); ok && refusal.Code == ibiswork.CodeOutcomeUnknown {
+		refusal.Message = fmt.Sprintf("%s; repeat it as change %s", refusal.Message, req.ID)
+	}
 	return reply, err
 }
 
@@ -163,16 +171,22 @@
 	maybeDone := false
 	for n := 0; ; n++ {
 		again, err := a.try(ctx, method, a.daemons[n%len(a.daemons)]+"/v1/admin"+path, body, out)
-		if err == nil || !again {
-			return err
+		if err == nil {
+			return nil
 		}
 		refusal := ibiswork.AsRefusal(err)
+		switch {
+		case !again && maybeDone && refusal.Code == ibiswork.CodeUnauthorized:
+			return unknown(err) // an earlier attempt may have replaced the key that it was made with
+		case !again:
+			return err
+		}
 		maybeDone = maybeDone || !refusal.NotRun
 		if n+1 < adminAttempts && sleep(ctx, wait.NextBackOff()) == nil {
 			continue
 		}
 		if maybeDone {
-			return &ibisadmin.Refusal{Refusal: *refusal.WithMaybeRun()}
+			return unknown(err)
 		}
 		return err
 	}
@@ -186,7 +200,10 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+a.key)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := a.client.Do(req)
+	resp, sent, err := ibishttp.Do(a.client, req)
+	if err != nil && !sent {
+		return true, &ibisadmin.Refusal{Refusal: *ibiswork.Refuse(ibiswork.CodeUnreachable, "%v", err)}
+	}
 	if err != nil {
 		return true, unknown(err)
 	}
