Admit interactive requests by the measured rate of starts; ask one owner before all of them

Cause: at 1500 arrivals/s of 5 ms tasks through 7 daemons (10 cores shared with other work) Place calls timed out, each time-out asked all daemons for the task, and the answers fell behind: done=5334 of 11924, OutcomeUnknown=6149, wait p50 1.6 s.

--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -60,10 +60,12 @@
 
 // run drives e from state to state until it has ended or the shard is given up.
 func (h *Holder) run(ctx context.Context, e *entry) {
+	defer h.count(e, stateEnded)
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		state := e.state()
 		e.mu.Unlock()
+		h.count(e, state)
 		switch state {
 		case stateQueued:
 			h.place(ctx, e)
@@ -82,6 +84,24 @@
 	}
 }
 
+// count keeps the number of requests that wait and the rate of starts.
+func (h *Holder) count(e *entry, state string) {
+	waits := state == stateQueued || state == stateReserved || state == stateStarting
+	if waits == e.waiting {
+		return
+	}
+	e.waiting = waits
+	c := e.saved.Request.Class
+	if waits {
+		h.flow.wait(c, 1)
+		return
+	}
+	h.flow.wait(c, -1)
+	if state == stateRunning {
+		h.flow.start(c, time.Now())
+	}
+}
+
 // conclude journals the end of durable work, counts it, and lets it be forgotten in time.
 func (h *Holder) conclude(ctx context.Context, e *entry) {
 	h.queued.Add(-1)
@@ -342,6 +362,7 @@
 		return
 	}
 	e.saved.Attempt++
+	e.searches = 0
 	e.saved.Places = nil
 	e.tasks = make(map[int]ibiswire.TaskEvent)
 	e.owners = make(map[int]string)
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -73,6 +73,8 @@
 	accepted time.Time
 	endedAt  time.Time
 	avoid    []string
+	searches int // since the attempt was lost
+	waiting  bool
 	driven   bool
 	stopSent bool // the rest of a failed gang is being stopped
 }
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -64,16 +64,18 @@
 
 // Holder holds some request shards.
 type Holder struct {
-	cfg      Config
-	rowsMu   sync.Mutex // serializes changes of rows
-	ctx      context.Context
-	wg       sync.WaitGroup
-	shards   []*shard
-	rows     atomic.Pointer[[]ibisshard.Row]
-	queued   atomic.Int64
-	wake     chan struct{}
-	draining atomic.Bool
-	sources  *sourceCache
+	cfg       Config
+	rowsMu    sync.Mutex // serializes changes of rows
+	ctx       context.Context
+	wg        sync.WaitGroup
+	shards    []*shard
+	rows      atomic.Pointer[[]ibisshard.Row]
+	queued    atomic.Int64
+	wake      chan struct{}
+	draining  atomic.Bool
+	sources   *sourceCache
+	flow      flow
+	searching chan struct{}
 
 	refused metrics.Counter
 	ended   metrics.Counter
@@ -86,7 +88,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	h := &Holder{
-		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), sources: newSourceCache(cfg.Table, func(id string) bool { return cfg.View().Revoked[id] }),
+		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), searching: make(chan struct{}, maxSearches), sources: newSourceCache(cfg.Table, func(id string) bool { return cfg.View().Revoked[id] }),
 		refused: metrics.NewRegisteredCounter("RequestsRefused", cfg.Metrics),
 		ended:   metrics.NewRegisteredCounter("RequestsEnded", cfg.Metrics),
 	}
@@ -227,6 +229,11 @@
 	if !total.FitsIn(team.UpperLimit) {
 		return ibiswork.Refuse(ibiswork.CodeNeverFits, "the request needs more than the upper limit of team %s", r.Team)
 	}
+	if !r.Class.Durable() {
+		if refusal := h.flow.admitInteractive(r, time.Now()); refusal != nil {
+			return refusal
+		}
+	}
 	return h.everFits(r)
 }
 
--- a/ibisholder/locate.go
+++ b/ibisholder/locate.go
@@ -14,6 +14,8 @@
 // Times of the search for tasks.
 const (
 	locateInterval = 300 * time.Millisecond
+	locateMax      = 3 * time.Second
+	maxSearches    = 16 // at a time
 	locateTimeout  = 4 * time.Second
 )
 
@@ -23,8 +25,15 @@
 	covers map[string]ibiswire.CoverState
 }
 
-// search asks every daemon at once what it knows of a request, or of the whole shard.
+// search asks every daemon at once what it knows of a request, or of the whole shard. Few searches go on
+// at a time, so that a loss of many tasks at once does not drown the daemons in them.
 func (h *Holder) search(ctx context.Context, req *ibiswire.LocateRequest) found {
+	select {
+	case h.searching <- struct{}{}:
+		defer func() { <-h.searching }()
+	case <-ctx.Done():
+		return found{}
+	}
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	f := found{covers: make(map[string]ibiswire.CoverState)}
@@ -87,6 +96,9 @@
 	e.mu.Lock()
 	req := &ibiswire.LocateRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt, Settle: e.saved.Places}
 	e.mu.Unlock()
+	if len(req.Settle) == 0 && h.askOwner(ctx, e, req) {
+		return
+	}
 	f := h.search(ctx, req)
 	for _, ev := range f.events {
 		e.deliver(ev)
@@ -98,10 +110,45 @@
 	}
 	e.mu.Unlock()
 	if !changed {
-		pause(ctx, e, locateInterval)
+		pause(ctx, e, jitter(e.nextLocate()))
 	}
 }
 
+// nextLocate is the growing pause before the next search for e.
+func (e *entry) nextLocate() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.searches++
+	return min(locateInterval<<min(e.searches, 4), locateMax)
+}
+
+// askOwner asks the only owner that was asked for places. When it has started nothing, the attempt is
+// over; it reports whether that was found out.
+func (h *Holder) askOwner(ctx context.Context, e *entry, req *ibiswire.LocateRequest) bool {
+	e.mu.Lock()
+	owner := e.owner
+	e.mu.Unlock()
+	clean := false
+	h.each(ctx, []string{owner}, locateTimeout, func(ctx context.Context, addr string) {
+		reply, err := ibisrpc.Call[ibiswire.LocateReply](ctx, h.cfg.Pool, addr, ibiswire.MethodLocate, req)
+		if err != nil {
+			return
+		}
+		for _, ev := range reply.Events {
+			e.deliver(ev)
+		}
+		clean = reply.Clean
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if clean && len(e.tasks) == 0 {
+		e.requeue()
+		return true
+	}
+	changed, _ := e.digest(time.Now())
+	return changed
+}
+
 // resolve ends the search when the servers in question have been covered: a task that was not found there
 // does not run and never will.
 func (h *Holder) resolve(e *entry, f found) bool {
--- a/ibisowner/locate.go
+++ b/ibisowner/locate.go
@@ -71,6 +71,8 @@
 			o.dropItem(it, ibiswork.Refuse(ibiswork.CodeStale, "closed"))
 		}
 	}
+	_, moved := o.moved[req.ID]
+	reply.Clean = req.ID != "" && !moved
 	match := func(id ibisserver.TaskID, shard int) bool {
 		return shard == req.From.Shard && (req.ID == "" || id.Request == req.ID)
 	}
@@ -79,6 +81,7 @@
 		if !match(t.id, t.meta.Shard) {
 			continue
 		}
+		reply.Clean = reply.Clean && !t.sent && !t.started
 		if t.started {
 			reply.Events = append(reply.Events, o.event(t, ibiswire.TaskRunning))
 		} else if t.sent {
@@ -88,6 +91,7 @@
 	for _, out := range o.outbox {
 		if match(out.event.Task, out.event.Meta.Shard) && out.event.State.Ended() {
 			reply.Events = append(reply.Events, out.event)
+			reply.Clean = false
 		}
 	}
 	wanted := make(map[string]bool, len(req.Settle))
--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -99,6 +99,7 @@
 	closed   map[ibiswork.ID]closedAttempt
 	epochs   []int64 // highest known of each shard
 	outbox   map[ibisserver.TaskID]*outgoing
+	moved    map[ibiswork.ID]time.Time // requests with a task that another owner reports, and until when to remember
 	draining bool
 
 	blocked     map[string]blocked // by team
@@ -130,7 +131,7 @@
 		cfg: cfg, loop: loop, ctx: ctx,
 		servers: make(map[string]*server), items: make(map[ibiswork.ID]*item),
 		tasks: make(map[ibisserver.TaskID]*task), closed: make(map[ibiswork.ID]closedAttempt), blocked: make(map[string]blocked),
-		epochs: make([]int64, cfg.Shards), outbox: make(map[ibisserver.TaskID]*outgoing),
+		epochs: make([]int64, cfg.Shards), outbox: make(map[ibisserver.TaskID]*outgoing), moved: make(map[ibiswork.ID]time.Time),
 		wake: make(chan struct{}, 1), started: metrics.NewRegisteredMeter("TasksStarted", cfg.Metrics),
 	}
 	o.load.Store(&ibispeer.Load{})
@@ -196,6 +197,11 @@
 			delete(o.closed, id)
 		}
 	}
+	for id, until := range o.moved {
+		if now.After(until) {
+			delete(o.moved, id)
+		}
+	}
 	for _, s := range o.servers {
 		o.checkLapse(s, now)
 		o.flushForgets(s)
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -105,6 +105,7 @@
 		}
 		if t.sent || t.started {
 			o.uncountBy(t, o.cfg.Ledger.Lose)
+			o.moved[t.id.Request] = time.Now().Add(closedFor)
 		} else {
 			o.uncount(t)
 		}
@@ -114,6 +115,7 @@
 	for id, out := range o.outbox {
 		if out.event.Server == s.vm.Name && !gone {
 			delete(o.outbox, id) // the new owner reports it from the server's records
+			o.moved[id.Request] = time.Now().Add(closedFor)
 		}
 	}
 	o.fleet.Remove(s.vm.Name)
--- a/ibiswire/wire.go
+++ b/ibiswire/wire.go
@@ -160,6 +160,8 @@
 type LocateReply struct {
 	Events []TaskEvent `json:"Events,omitempty"`
 	Covers []Cover     `json:"Covers"`
+	// Clean says that this daemon has sent no start of the attempt, and sends none from now on.
+	Clean bool `json:"Clean,omitempty"`
 }
 
 // Meta is what an owner keeps with a task on its backend server, so that any later owner can tell the
