--- a/ibisplace/bench_test.go
+++ b/ibisplace/bench_test.go
@@ -327,3 +327,25 @@
 	p.full = used.Dominant(capacity)
 	return p
 }
+
+// BenchmarkVictims is the time to choose what to stop among the batch tasks of a full fleet.
+func BenchmarkVictims(b *testing.B) {
+	for _, size := range []struct{ servers, tasks int }{{50, 500}, {8500, 50000}} {
+		b.Run(fmt.Sprintf("servers=%d/tasks=%d", size.servers, size.tasks), func(b *testing.B) {
+			f := newPlacer("index", benchServers(size.servers), benchSeed).(*ibisplace.Fleet)
+			c := &churn{p: f, rng: rand.New(rand.NewPCG(benchSeed, 1))}
+			c.fill(size.servers * 40)
+			running := make([]ibisplace.Running, size.tasks)
+			for i := range running {
+				t := c.running[i%len(c.running)]
+				running[i] = ibisplace.Running{Server: t.name, Resources: t.r, Lost: time.Duration(c.rng.IntN(600)) * time.Second}
+			}
+			a := ibisplace.Ask{Class: ibiswork.Interactive, Resources: res(2000, 4000, 0, 1)}
+			for b.Loop() {
+				if _, _, ok := f.Victims(a, running); !ok {
+					b.Fatal("no victims")
+				}
+			}
+		})
+	}
+}
--- a/ibisplace/victims.go
+++ b/ibisplace/victims.go
@@ -18,56 +18,56 @@
 // Victims chooses the tasks to stop so that one task of a fits on a server: on the server on which the
 // least work is lost, in run time weighed by the part of the server, and no more tasks than needed. It
 // returns indexes into running, which the caller has filtered to tasks that may be stopped. It looks at
-// every one of them, so it is for the few decisions that need it.
+// every one of them: with very many, a sample is enough.
 func (f *Fleet) Victims(a Ask, running []Running) (server string, victims []int, ok bool) {
 	least := 0.0
-	for name, tasks := range byServer(running) {
-		n, known := f.servers[name]
-		if !known || n.Closed || a.Avoid[name] {
-			continue
-		}
+	for n, tasks := range f.byServer(a, running) {
 		v, lost, fits := n.victims(a.Resources, running, tasks)
-		if !fits || (ok && (lost > least || lost == least && name > server)) {
+		if !fits || (ok && (lost > least || lost == least && n.Name > server)) {
 			continue
 		}
-		server, victims, ok, least = name, v, true, lost
+		server, victims, ok, least = n.Name, v, true, lost
 	}
 	return server, victims, ok
 }
 
-func byServer(running []Running) map[string][]int {
-	m := make(map[string][]int)
+// stoppable is a task on one server with what stopping it costs.
+type stoppable struct {
+	index int
+	cost  float64
+}
+
+func (f *Fleet) byServer(a Ask, running []Running) map[*node][]stoppable {
+	m := make(map[*node][]stoppable)
 	for i, r := range running {
-		m[r.Server] = append(m[r.Server], i)
+		if n, ok := f.servers[r.Server]; ok && !n.Closed && !a.Avoid[n.Name] {
+			m[n] = append(m[n], stoppable{i, r.Lost.Seconds() * max(r.Resources.Dominant(n.Capacity), 0)})
+		}
 	}
 	return m
 }
 
 // victims is the tasks to stop on n, the cheapest ones first, without those that turn out not to be needed.
-func (n *node) victims(need ibiswork.Resources, running []Running, tasks []int) (v []int, lost float64, fits bool) {
-	cost := func(i int) float64 {
-		return running[i].Lost.Seconds() * max(running[i].Resources.Dominant(n.Capacity), 0)
-	}
-	slices.SortStableFunc(tasks, func(i, j int) int { return cmp.Compare(cost(i), cost(j)) })
+func (n *node) victims(need ibiswork.Resources, running []Running, tasks []stoppable) (v []int, lost float64, fits bool) {
 	free := n.free
-	for _, i := range tasks {
-		if need.FitsIn(free) {
-			break
-		}
-		free = free.Add(running[i].Resources)
-		v = append(v, i)
+	for _, t := range tasks {
+		free = free.Add(running[t.index].Resources)
 	}
 	if !need.FitsIn(free) {
 		return nil, 0, false
 	}
-	for k := len(v) - 1; k >= 0; k-- {
-		if without := free.Sub(running[v[k]].Resources); need.FitsIn(without) {
-			free = without
-			v = slices.Delete(v, k, k+1)
+	// The dearest tasks are kept first, as far as the rest makes room.
+	slices.SortFunc(tasks, func(x, y stoppable) int {
+		return cmp.Or(cmp.Compare(y.cost, x.cost), cmp.Compare(y.index, x.index))
+	})
+	for _, t := range tasks {
+		if kept := free.Sub(running[t.index].Resources); need.FitsIn(kept) {
+			free = kept
+			continue
 		}
+		v = append(v, t.index)
+		lost += t.cost
 	}
-	for _, i := range v {
-		lost += cost(i)
-	}
+	slices.Reverse(v)
 	return v, lost, true
 }
--- a/ibisqueue/bench_test.go
+++ b/ibisqueue/bench_test.go
@@ -59,7 +59,7 @@
 		queue.SetTeam(teamName(n), float64(1+n%5), ibiswork.Resources{})
 	}
 	for len(b.running) < running {
-		b.push(1000)
+		b.push(min(1000, running-len(b.running)))
 		if b.round() == 0 {
 			break
 		}
