--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -28,13 +28,35 @@
 // exchange is one call, made anew at each attempt.
 type exchange struct {
 	method, path string
-	body         []byte
+	request      *ibiswork.Request // of a submission
 	id           ibiswork.ID
 	wait         time.Duration
+	begin        time.Time // of the first attempt at a submission
 }
 
-// call makes attempts until one succeeds, a refusal says that no retry helps, ctx ends or the attempts
-// are used up.
+// body is what an attempt at that moment sends: the request with what is left of its deadline, but one
+// millisecond at least, so that it is the daemon that answers a request whose deadline has passed.
+func (e exchange) body(now time.Time) ([]byte, error) {
+	if e.request == nil {
+		return nil, nil
+	}
+	r := *e.request
+	if r.DeadlineMS > 0 {
+		r.DeadlineMS = max(1, r.DeadlineMS-now.Sub(e.begin).Milliseconds())
+	}
+	return json.Marshal(r)
+}
+
+// tooLate reports whether the deadline of a submission has passed at t.
+func (e exchange) tooLate(t time.Time) bool {
+	if e.request == nil || e.request.DeadlineMS == 0 {
+		return false
+	}
+	return t.Sub(e.begin) >= time.Duration(e.request.DeadlineMS)*time.Millisecond
+}
+
+// call makes attempts until one succeeds, a refusal says that no retry helps, the next would come after
+// the deadline, ctx ends or the attempts are used up.
 func (c *Caller) call(ctx context.Context, e exchange) (ibiswork.Status, error) {
 	if len(c.daemons) == 0 {
 		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeUnreachable, "no daemon is known")
@@ -60,7 +82,8 @@
 		if moved && n < len(c.daemons) {
 			continue
 		}
-		if c.sleep(ctx, c.pause(next, refusal)) != nil {
+		pause := c.pause(next, refusal)
+		if e.tooLate(c.now().Add(pause)) || c.sleep(ctx, pause) != nil {
 			return ibiswork.Status{}, refusal
 		}
 	}
@@ -115,7 +138,11 @@
 func (c *Caller) try(ctx context.Context, daemon string, e exchange) (ibiswork.Status, *ibiswork.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, e.wait+c.grace)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, e.method, daemon+e.path, bytes.NewReader(e.body))
+	body, err := e.body(c.now())
+	if err != nil {
+		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, e.method, daemon+e.path, bytes.NewReader(body))
 	if err != nil {
 		return ibiswork.Status{}, ibiswork.Refuse(ibiswork.CodeBadRequest, "%v", err)
 	}
