Answer what still waits before a drain ends

Cause: a submission may wait for 60 s and a question for 20 s, while a drain lasts 30 s by default, so a graceful shutdown could have cut them off. Change: questions are answered with what is known as soon as draining begins; submissions after three quarters of the time that Drain is given, with 202 only when the work is certainly recorded. Every Draining answer closes its connection, also when the admission gives it.

--- a/ibisgate/drain_test.go
+++ b/ibisgate/drain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,6 +57,59 @@
 	assert.Equal(t, g.InFlight(), int64(0))
 }
 
+// TestDrainCutsWaitsShort drains while a submission waits and a question polls, with a deadline that has
+// nearly passed already, so that patience ends at once.
+func TestDrainCutsWaitsShort(t *testing.T) {
+	for _, tc := range []struct {
+		name, body string
+		stage      ibiswork.Stage
+		status     int
+		code       ibiswork.Code
+	}{
+		{"Durable", `{"Class":"Batch"}`, ibiswork.Queued, http.StatusAccepted, ""},
+		{"NotIdempotentRunning", `{"Class":"Interactive"}`, ibiswork.Running, http.StatusAccepted, ""},
+		{"NotIdempotentQueued", `{"Class":"Interactive"}`, ibiswork.Queued, http.StatusServiceUnavailable, ibiswork.CodeDraining},
+		{"Idempotent", `{"Class":"Interactive","Idempotent":true}`, ibiswork.Running, http.StatusServiceUnavailable, ibiswork.CodeDraining},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			waiting := make(chan struct{}, 2)
+			hold := func(ctx context.Context) error {
+				waiting <- struct{}{}
+				<-ctx.Done()
+				return ibiswork.Refuse(ibiswork.CodeUnreachable, "%v", ctx.Err()).WithMaybeRun()
+			}
+			g, srv := newServer(t, &fakeScheduler{
+				submit: func(ctx context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
+					return ibiswork.Status{}, hold(ctx)
+				},
+				status: func(ctx context.Context, _ string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
+					if wait > 0 {
+						return ibiswork.Status{}, hold(ctx)
+					}
+					return ibiswork.Status{ID: id, Stage: tc.stage}, ctx.Err()
+				},
+			}, newDaemon())
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				resp, b := ask(t, http.MethodPost, srv.URL+"/v1/requests?WaitMS=60000", testKey, tc.body)
+				assert.Check(t, resp.StatusCode == tc.status && resp.Close, "%d %s", resp.StatusCode, b)
+				assert.Check(t, problem(t, b).Code == tc.code && !problem(t, b).NotRun, "%s", b)
+			})
+			wg.Go(func() {
+				resp, _ := ask(t, http.MethodGet, srv.URL+"/v1/requests/"+string(ibiswork.NewID())+"?WaitMS=20000", testKey, "")
+				assert.Check(t, resp.StatusCode == http.StatusOK && resp.Close)
+			})
+			<-waiting
+			<-waiting
+			// Patience ends after three quarters of the time, so the answers come well before the last.
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			assert.NilError(t, g.Drain(ctx))
+			wg.Wait()
+		})
+	}
+}
+
 func TestOverloaded(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
 	_, srv := newServer(t, &fakeScheduler{submit: func(_ context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
--- a/ibisgate/flow.go
+++ b/ibisgate/flow.go
@@ -1,6 +1,8 @@
 package ibisgate
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -14,6 +16,9 @@
 	unknownRetry    = 500 * time.Millisecond
 )
 
+// errDrained is why a wait ended early.
+var errDrained = Error.New("the daemon is shutting down")
+
 // flow counts the requests in progress and refuses new ones above a limit or while draining.
 type flow struct {
 	mu       sync.Mutex
@@ -21,10 +26,18 @@
 	n        int64
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is in progress
+
+	polls       context.Context // ends when draining begins
+	endPolls    context.CancelFunc
+	patience    context.Context // ends when what still waits must be answered with what is known
+	endPatience context.CancelFunc
 }
 
 func newFlow(limit int64) *flow {
-	return &flow{limit: limit, idle: make(chan struct{})}
+	f := &flow{limit: limit, idle: make(chan struct{})}
+	f.polls, f.endPolls = context.WithCancel(context.Background())
+	f.patience, f.endPatience = context.WithCancel(context.Background())
+	return f
 }
 
 // enter counts one more request in progress, unless it returns a refusal.
@@ -59,6 +72,7 @@
 		close(f.idle)
 	}
 	f.draining = true
+	f.endPolls()
 	return f.idle
 }
 
@@ -73,3 +87,14 @@
 	defer f.mu.Unlock()
 	return f.n
 }
+
+// withEnd is parent that ends with end as well; cut then reports that it did so because of end.
+func withEnd(parent, end context.Context) (ctx context.Context, release func(), cut func() bool) {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(end, func() { cancel(errDrained) })
+	release = func() {
+		stop()
+		cancel(nil)
+	}
+	return ctx, release, func() bool { return errors.Is(context.Cause(ctx), errDrained) }
+}
--- a/ibisgate/gate.go
+++ b/ibisgate/gate.go
@@ -64,6 +64,8 @@
 	// answerGrace is how long after the end of its waiting the scheduler may take to answer, and how
 	// long an acceptance that is under way goes on after its caller has gone away.
 	answerGrace = 10 * time.Second
+	// lastLook is how long a request that is cut short by draining may take to tell its state.
+	lastLook = 2 * time.Second
 )
 
 // Gate serves callers.
@@ -140,10 +142,17 @@
 func (g *Gate) InFlight() int64 { return g.flow.count() }
 
 // Drain refuses new requests and waits until each request in progress has been answered, or returns an
-// error of this package when ctx ends first. It is not undone.
+// error of this package when ctx ends first. Questions are answered at once with what is known. When ctx
+// has a deadline, submissions that still wait after three quarters of the time are answered the same way:
+// durable ones with 202, so that their callers ask another daemon. It is not undone.
 func (g *Gate) Drain(ctx context.Context) error {
+	idle := g.flow.drain()
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := time.AfterFunc(time.Until(deadline)*3/4, g.flow.endPatience)
+		defer timer.Stop()
+	}
 	select {
-	case <-g.flow.drain():
+	case <-idle:
 		return nil
 	case <-ctx.Done():
 		return Error.New("%d requests still in progress: %v", g.InFlight(), context.Cause(ctx))
--- a/ibisgate/reply.go
+++ b/ibisgate/reply.go
@@ -80,7 +80,7 @@
 		log.WithError(err).Error("GateEncode")
 		a.status, b = http.StatusInternalServerError, []byte(`{"Code":"Internal","Message":"the answer could not be encoded","NotRun":false}`)
 	}
-	if g.flow.isDraining() {
+	if g.flow.isDraining() || a.label == string(ibiswork.CodeDraining) {
 		w.Header().Set("Connection", "close")
 	}
 	if a.location != "" {
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -53,9 +53,14 @@
 		parent, release = outlive(parent, answerGrace)
 		defer release()
 	}
-	ctx, cancel := context.WithTimeout(parent, wait+answerGrace)
+	patient, release, cut := withEnd(parent, g.flow.patience)
+	defer release()
+	ctx, cancel := context.WithTimeout(patient, wait+answerGrace)
 	defer cancel()
 	st, err := g.scheduler.Submit(ctx, req, wait)
+	if err != nil && cut() {
+		st, err = g.cutShort(parent, req)
+	}
 	if err != nil {
 		return refuse(unknownOnTimeout(err), req.ID)
 	}
@@ -65,6 +70,19 @@
 	return progress(st)
 }
 
+// cutShort is what can be said of a submission that waited for too long while draining. Work that may not
+// have been recorded yet can end with a daemon's memory of it, so its caller submits it again.
+func (g *Gate) cutShort(parent context.Context, req ibiswork.Request) (ibiswork.Status, error) {
+	ctx, cancel := context.WithTimeout(parent, lastLook)
+	defer cancel()
+	st, err := g.scheduler.Status(ctx, req.Team, req.ID, 0)
+	recorded := req.Class.Durable() || (req.Durable() && st.Stage == ibiswork.Running)
+	if err == nil && (recorded || st.Stage == ibiswork.Ended) {
+		return st, nil
+	}
+	return st, ibiswork.Refuse(ibiswork.CodeDraining, "this daemon is shutting down").WithMaybeRun().WithRetryAfter(drainingRetry)
+}
+
 // status serves GET /v1/requests/{id}.
 func (g *Gate) status(_ http.ResponseWriter, r *http.Request) reply {
 	wait, _, err := waitOf(r)
@@ -73,9 +91,17 @@
 	}
 	wait = min(wait, MaxPollWait)
 	st, a := g.question(r, func(team string, id ibiswork.ID) (ibiswork.Status, error) {
-		ctx, cancel := context.WithTimeout(r.Context(), wait+answerGrace)
+		polling, release, cut := withEnd(r.Context(), g.flow.polls)
+		defer release()
+		ctx, cancel := context.WithTimeout(polling, wait+answerGrace)
 		defer cancel()
-		return g.scheduler.Status(ctx, team, id, wait)
+		st, err := g.scheduler.Status(ctx, team, id, wait)
+		if err != nil && cut() {
+			ctx, cancel := context.WithTimeout(r.Context(), lastLook)
+			defer cancel()
+			return g.scheduler.Status(ctx, team, id, 0)
+		}
+		return st, err
 	})
 	if a != nil {
 		return *a
