Refuse to clear away the allotments of a live incarnation

Cause: a clearer that lists the incarnations before the holders takes a daemon that starts in between for a dead one, and would free what it holds while it goes on using it. Change: MoveFrom, DropDead and DropAll ask whether the holder is over, which is final.

--- a/ibisallot/dead.go
+++ b/ibisallot/dead.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"ibiscrank/ibiscommit"
+	"ibiscrank/ibisincarnation"
 	"ibiscrank/ibistable"
 	"ibiscrank/ibiswork"
 )
@@ -58,7 +59,10 @@
 func (l *Ledger) MoveFrom(ctx context.Context, dead string, _ bool) error {
 	l.rounds.Lock()
 	defer l.rounds.Unlock()
-	var err error
+	err := over(ctx, l.t, dead)
+	if err != nil {
+		return err
+	}
 	for range deadTries {
 		if err = l.refresh(ctx); err != nil {
 			return err
@@ -70,6 +74,18 @@
 	return err
 }
 
+// over returns an error when the holder is a live incarnation, whose allotments nobody else may change.
+func over(ctx context.Context, t ibistable.Table, holder string) error {
+	if strings.HasPrefix(holder, lostPrefix) {
+		return nil
+	}
+	is, err := ibisincarnation.IsOver(ctx, t, holder)
+	if err == nil && !is {
+		return Error.New("%s is live", holder)
+	}
+	return classify(err)
+}
+
 func (l *Ledger) moves(dead string) []change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -137,8 +153,12 @@
 }
 
 // DropDead frees what a dead incarnation, or another holder, still holds and wants of one team. It returns
-// nil when there is nothing to free. See Holders for when that is safe.
+// nil when there is nothing to free, and an error when the incarnation is live. See Holders for when it is
+// safe.
 func DropDead(ctx context.Context, t ibistable.Table, fence ibistable.Write, team, dead string) error {
+	if err := over(ctx, t, dead); err != nil {
+		return err
+	}
 	for {
 		row, err := t.Get(ctx, Key(team))
 		if ibistable.NotFound.Has(err) {
--- a/ibisallot/ledger_test.go
+++ b/ibisallot/ledger_test.go
@@ -260,4 +260,6 @@
 	holders, err := Holders(ctx, f.table)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, holders, f.ids)
+	assert.ErrorContains(t, DropAll(ctx, f.table, taker.fence, "i-0"), "live")
+	assert.ErrorContains(t, taker.MoveFrom(ctx, "i-0", false), "live")
 }
--- a/ibisallot/sync.go
+++ b/ibisallot/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ibiscrank/ibiscommit"
+	"ibiscrank/ibisincarnation"
 	"ibiscrank/ibistable"
 	"ibiscrank/ibiswork"
 )
@@ -243,7 +244,9 @@
 		return Conflict.Wrap(err)
 	case ibiscommit.Fenced.Has(err):
 		return Fenced.Wrap(err)
-	case ibiscommit.Unavailable.Has(err), ibistable.Unavailable.Has(err):
+	case Error.Has(err):
+		return err
+	case ibiscommit.Unavailable.Has(err), ibistable.Unavailable.Has(err), ibisincarnation.Unavailable.Has(err):
 		return Unavailable.Wrap(err)
 	case ibiscommit.Unknown.Has(err), ibistable.Unknown.Has(err):
 		return Unknown.Wrap(err)
--- a/ibisincarnation/incarnation.go
+++ b/ibisincarnation/incarnation.go
@@ -250,6 +250,16 @@
 	}
 }
 
+// IsOver reports whether the incarnation has ended or was revoked, or has no row any more. That is final:
+// no ID is ever used again, and an incarnation writes nothing before it has a row.
+func IsOver(ctx context.Context, t ibistable.Table, id string) (bool, error) {
+	_, r, err := get(ctx, t, id)
+	if ibistable.NotFound.Has(err) {
+		return true, nil
+	}
+	return r.State != Live, classify(err)
+}
+
 // Delete removes the row of an incarnation that has ended or was revoked; it is an error when it is live.
 // Call it only when nothing refers to the incarnation any more.
 func Delete(ctx context.Context, t ibistable.Table, id string) error {
--- a/ibisincarnation/incarnation_test.go
+++ b/ibisincarnation/incarnation_test.go
@@ -60,6 +60,8 @@
 	other, err := Register(ctx, table, row("i-2"))
 	assert.NilError(t, err)
 	assert.Assert(t, Error.Has(Delete(ctx, table, "i-1")), "live")
+	over, err := IsOver(ctx, table, "i-1")
+	assert.Assert(t, err == nil && !over)
 	for range 2 {
 		table.Inject(ibistablefake.LostReply)
 		assert.NilError(t, Revoke(ctx, table, "i-1", "silent", other.Fence()))
@@ -82,6 +84,11 @@
 	assert.Equal(t, list[0].State, Revoked)
 	assert.Equal(t, list[0].Reason, "silent")
 	assert.Equal(t, list[1].State, Ended)
+	for id, want := range map[string]bool{"i-1": true, "i-2": true, "never": true} {
+		over, err := IsOver(ctx, table, id)
+		assert.NilError(t, err)
+		assert.Equal(t, over, want)
+	}
 	for range 2 {
 		assert.NilError(t, Delete(ctx, table, "i-1"))
 	}
--- a/ibisjournal/record.go
+++ b/ibisjournal/record.go
@@ -92,18 +92,12 @@
 // Drop deletes the rows of a journal whose incarnation is revoked or has ended, one page a transaction.
 // It is repeated after any error.
 func Drop(ctx context.Context, t ibistable.Table, incarnation string) error {
-	row, err := t.Get(ctx, ibisincarnation.Key(incarnation))
-	if err != nil && !ibistable.NotFound.Has(err) {
+	over, err := ibisincarnation.IsOver(ctx, t, incarnation)
+	if err != nil {
 		return classify(err)
 	}
-	if row.Version > 0 {
-		var r ibisincarnation.Row
-		if err := cbor.Unmarshal(row.Value, &r); err != nil {
-			return Error.Wrap(err)
-		}
-		if r.State == ibisincarnation.Live {
-			return Error.New("the journal of %s is in use", incarnation)
-		}
+	if !over {
+		return Error.New("the journal of %s is in use", incarnation)
 	}
 	return pages(ctx, t, incarnation, func(rows []ibistable.Row) error {
 		writes := make([]ibistable.Write, len(rows))
@@ -141,7 +135,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case ibistable.Unavailable.Has(err):
+	case ibistable.Unavailable.Has(err), ibisincarnation.Unavailable.Has(err):
 		return Unavailable.Wrap(err)
 	case ibistable.Unknown.Has(err):
 		return Unknown.Wrap(err)
