--- a/ibisdaemon/daemon.go
+++ b/ibisdaemon/daemon.go
@@ -63,7 +63,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(time.Duration(s.DrainMS)*time.Millisecond+stopMargin),
-		fx.Supply(s, life, revokedChan(revoked)),
+		fx.Supply(s, life, revokedChan(revoked), runContext{ctx}),
 		fx.Provide(
 			metrics.NewRegistry, newTable, newVMList, newPool, newIncarnation, newConfig, newJournal, newLedger,
 			newBurn, newDaemonCount, newNode, newFrontend,
@@ -71,6 +71,9 @@
 		fx.Invoke(func(*frontend) {}),
 	)
 	if err := app.Err(); err != nil {
+		if ctx.Err() != nil {
+			return nil // told to end before the store could be reached
+		}
 		return Error.Wrap(err)
 	}
 	startCtx, cancel := context.WithCancel(ctx)
@@ -91,6 +94,9 @@
 	return Error.Wrap(app.Stop(stopCtx))
 }
 
+// runContext ends when the daemon is told to end.
+type runContext struct{ context.Context }
+
 // revokedChan is told when the incarnation has been revoked.
 type revokedChan chan struct{}
 
@@ -116,13 +122,13 @@
 }
 
 // newIncarnation registers this start of the daemon, waiting for the store while it is away.
-func newIncarnation(s ibissettings.Settings, life *lifecycle, t ibistable.Table, revoked revokedChan) (*ibisincarnation.Incarnation, error) {
+func newIncarnation(run runContext, s ibissettings.Settings, life *lifecycle, t ibistable.Table, revoked revokedChan) (*ibisincarnation.Incarnation, error) {
 	row := ibisincarnation.Row{
 		ID: uuid.Must(uuid.NewV7()).String(), Address: s.Advertise, HTTPAddress: s.AdvertiseHTTP,
 		FailureDomain: s.FailureDomain, Region: s.Region, StartedAt: time.Now(), State: ibisincarnation.Live,
 	}
 	for {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		ctx, cancel := context.WithTimeout(run, storeTimeout)
 		inc, err := ibisincarnation.Register(ctx, t, row)
 		cancel()
 		if err == nil {
@@ -131,7 +137,11 @@
 			return inc, nil
 		}
 		log.WithField("error", err).Warn("IncarnationNotRegistered")
-		time.Sleep(registerRetry)
+		select {
+		case <-run.Done():
+			return nil, Error.Wrap(run.Err())
+		case <-time.After(registerRetry):
+		}
 	}
 }
 
