--- a/ibisgate/drain_test.go
+++ b/ibisgate/drain_test.go
@@ -63,28 +63,33 @@
 	for _, tc := range []struct {
 		name, body string
 		stage      ibiswork.Stage
+		known      bool // the scheduler tells the stage when its context ends, else it refuses
 		status     int
 		code       ibiswork.Code
 	}{
-		{"Durable", `{"Class":"Batch"}`, ibiswork.Queued, http.StatusAccepted, ""},
-		{"NotIdempotentRunning", `{"Class":"Interactive"}`, ibiswork.Running, http.StatusAccepted, ""},
-		{"NotIdempotentQueued", `{"Class":"Interactive"}`, ibiswork.Queued, http.StatusServiceUnavailable, ibiswork.CodeDraining},
-		{"Idempotent", `{"Class":"Interactive","Idempotent":true}`, ibiswork.Running, http.StatusServiceUnavailable, ibiswork.CodeDraining},
+		{"Durable", `{"Class":"Batch"}`, ibiswork.Queued, false, http.StatusAccepted, ""},
+		{"NotIdempotentRunning", `{"Class":"Interactive"}`, ibiswork.Running, true, http.StatusAccepted, ""},
+		{"NotIdempotentQueued", `{"Class":"Interactive"}`, ibiswork.Queued, false, http.StatusServiceUnavailable, ibiswork.CodeDraining},
+		{"IdempotentUnknown", `{"Class":"Interactive","Idempotent":true}`, ibiswork.Running, false, http.StatusServiceUnavailable, ibiswork.CodeDraining},
+		{"Idempotent", `{"Class":"Interactive","Idempotent":true}`, ibiswork.Running, true, http.StatusServiceUnavailable, ibiswork.CodeDraining},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			waiting := make(chan struct{}, 2)
 			hold := func(ctx context.Context) error {
 				waiting <- struct{}{}
 				<-ctx.Done()
+				if tc.known {
+					return nil
+				}
 				return ibiswork.Refuse(ibiswork.CodeUnreachable, "%v", ctx.Err()).WithMaybeRun()
 			}
 			g, srv := newServer(t, &fakeScheduler{
 				submit: func(ctx context.Context, r ibiswork.Request, _ time.Duration) (ibiswork.Status, error) {
-					return ibiswork.Status{}, hold(ctx)
+					return ibiswork.Status{ID: r.ID, Stage: tc.stage}, hold(ctx)
 				},
 				status: func(ctx context.Context, _ string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
 					if wait > 0 {
-						return ibiswork.Status{}, hold(ctx)
+						return ibiswork.Status{ID: id, Stage: tc.stage}, hold(ctx)
 					}
 					return ibiswork.Status{ID: id, Stage: tc.stage}, ctx.Err()
 				},
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(patient, wait+answerGrace)
 	defer cancel()
 	st, err := g.scheduler.Submit(ctx, req, wait)
-	if err != nil && cut() {
+	if cut() && (err != nil || st.Stage != ibiswork.Ended) {
 		st, err = g.cutShort(parent, req)
 	}
 	if err != nil {
