Tell other daemons at once which shards moved; hand shards over side by side

Cause: after a release the next holder and the routes of the others looked at the rows every 2 s, and a draining daemon gave up its shards one after the other.

--- a/ibisdaemon/frontend.go
+++ b/ibisdaemon/frontend.go
@@ -68,6 +68,7 @@
 		ibisrpc.Unary(ibiswire.MethodLocate, n.owner.Locate),
 		ibisrpc.Unary(ibiswire.MethodServers, n.owner.Servers),
 		ibisrpc.Unary(ibiswire.MethodSettle, n.settle),
+		ibisrpc.Unary(ibiswire.MethodShardsMoved, n.holder.ShardsMoved),
 		ibisrpc.Unary(ibiswire.MethodSnapshot, n.snapshot),
 		ibisrpc.Unary(ibiswire.MethodBurn, n.burnPart),
 	}
--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
 
 	"ibiscrank/ibisincarnation"
 	"ibiscrank/ibisshard"
+	"ibiscrank/ibiswire"
 )
 
 // Times of the control of shards.
@@ -15,9 +17,10 @@
 	controlInterval = 500 * time.Millisecond
 	rowsInterval    = 2 * time.Second // between reads of all rows while nothing has changed
 	controlTimeout  = 5 * time.Second
-	handoffAfter    = 5 * time.Second // that another daemon has been the better holder
-	handoffQuiet    = 3 * time.Second // for interactive requests of the shard to end
+	handoffAfter    = 5 * time.Second        // that another daemon has been the better holder
+	handoffQuiet    = 800 * time.Millisecond // for interactive requests of the shard to end
 	forgetInterval  = 5 * time.Second
+	handoffsAtOnce  = 64
 )
 
 // Wake makes the control look at the shards at once.
@@ -147,6 +150,11 @@
 		return
 	}
 	taken, err := ibisshard.TakeMany(ctx, h.cfg.Table, h.cfg.Fence, free, h.cfg.Self)
+	hint := &ibiswire.ShardsMoved{}
+	for _, row := range taken {
+		hint.Taken = append(hint.Taken, ibiswire.Holder{Shard: row.Shard, Epoch: row.Epoch, Incarnation: h.cfg.Self})
+	}
+	h.tell(hint)
 	for _, row := range taken {
 		h.setRow(row)
 		h.shards[row.Shard].become(reading, row.Epoch)
@@ -200,6 +208,7 @@
 		log.WithFields(log.Fields{"shard": sh.id, "error": err}).Warn("ShardNotReleased")
 	} else {
 		h.setRow(released)
+		h.tell(&ibiswire.ShardsMoved{Released: []int{sh.id}})
 		log.WithField("shard", sh.id).Info("ShardReleased")
 	}
 	// Without the drivers this life of the shard is over either way; a row that still names this daemon is
@@ -236,11 +245,19 @@
 // Drain takes no new requests, waits for those in progress, and gives up every shard.
 func (h *Holder) Drain(ctx context.Context) error {
 	h.draining.Store(true)
+	var g errgroup.Group
+	g.SetLimit(handoffsAtOnce)
 	for _, sh := range h.shards {
 		if sh.serving() {
-			h.handOff(ctx, sh, time.Until(deadlineOf(ctx)))
+			g.Go(func() error {
+				h.handOff(ctx, sh, time.Until(deadlineOf(ctx)))
+				return nil
+			})
 		}
 	}
+	if err := g.Wait(); err != nil {
+		return Error.Wrap(err)
+	}
 	if n := h.Held(); n > 0 {
 		return Error.New("%d shards could not be given up", n)
 	}
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -70,6 +70,7 @@
 	wg        sync.WaitGroup
 	shards    []*shard
 	rows      atomic.Pointer[[]ibisshard.Row]
+	hints     []atomic.Pointer[ibiswire.Holder] // of holders that are newer than the rows
 	queued    atomic.Int64
 	wake      chan struct{}
 	draining  atomic.Bool
@@ -92,6 +93,7 @@
 		refused: metrics.NewRegisteredCounter("RequestsRefused", cfg.Metrics),
 		ended:   metrics.NewRegisteredCounter("RequestsEnded", cfg.Metrics),
 	}
+	h.hints = make([]atomic.Pointer[ibiswire.Holder], cfg.Shards)
 	for i := range cfg.Shards {
 		h.shards = append(h.shards, newShard(i))
 	}
@@ -111,11 +113,15 @@
 // Holder tells who holds a shard and where its daemon is reached.
 func (h *Holder) Holder(s int) (ibiswire.Holder, string, bool) {
 	row := (*h.rows.Load())[s]
-	m, ok := h.cfg.View().Find(row.Holder)
+	known := ibiswire.Holder{Shard: s, Epoch: row.Epoch, Incarnation: row.Holder}
+	if hint := h.hints[s].Load(); hint != nil && hint.Epoch > row.Epoch {
+		known = *hint
+	}
+	m, ok := h.cfg.View().Find(known.Incarnation)
 	if !ok {
 		return ibiswire.Holder{}, "", false
 	}
-	return ibiswire.Holder{Shard: s, Epoch: row.Epoch, Incarnation: row.Holder}, m.Digest.Row.Address, true
+	return known, m.Digest.Row.Address, true
 }
 
 // Held counts the shards that this daemon holds.
@@ -207,7 +213,7 @@
 	return ibiswork.Refuse(ibiswork.CodeStoreUnavailable, "the store has not answered").WithMaybeRun().WithRetryAfter(storeRetry)
 }
 
-const storeRetry = 5 * time.Second
+const storeRetry = 1 * time.Second
 
 // admit refuses what can never run and what cannot be taken now.
 func (h *Holder) admit(r ibiswork.Request) error {
--- a/ibiswire/wire.go
+++ b/ibiswire/wire.go
@@ -28,6 +28,7 @@
 	MethodReport      = "Report"
 	MethodHeartbeat   = "Heartbeat"
 	MethodServers     = "Servers"
+	MethodShardsMoved = "ShardsMoved"
 	MethodSettle      = "Settle"
 	MethodSnapshot    = "Snapshot"
 	MethodBurn        = "Burn"
@@ -249,6 +250,16 @@
 	Servers     []ServerInfo `json:"Servers,omitempty"`
 }
 
+// ShardsMoved tells a daemon which shards have new holders and which wait for one, sooner than it would
+// read the rows of the store. It is a hint: only the rows say who holds a shard.
+type ShardsMoved struct {
+	Taken    []Holder `json:"Taken,omitempty"`
+	Released []int    `json:"Released,omitempty"`
+}
+
+// ShardsMovedReply says that the hint has been taken in.
+type ShardsMovedReply struct{}
+
 // SettleRequest asks a daemon to move from the allotments of a dead incarnation what it counts beyond its
 // own.
 type SettleRequest struct {
