--- a/ibisdaemon/clean.go
+++ b/ibisdaemon/clean.go
@@ -27,6 +27,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
+	holders, err := ibisallot.Holders(ctx, n.table)
+	if err != nil {
+		return
+	}
 	rows, err := ibisincarnation.List(ctx, n.table)
 	if err != nil {
 		return
@@ -38,10 +42,6 @@
 			over = append(over, r.ID)
 		}
 	}
-	holders, err := ibisallot.Holders(ctx, n.table)
-	if err != nil {
-		return
-	}
 	holders = slices.DeleteFunc(holders, func(id string) bool { return live[id] })
 	if len(over)+len(holders) == 0 || !n.allClaimed(ctx) {
 		return
--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -20,7 +20,8 @@
 	handoffAfter    = 5 * time.Second        // that another daemon has been the better holder
 	handoffQuiet    = 800 * time.Millisecond // for interactive requests of the shard to end
 	forgetInterval  = 5 * time.Second
-	handoffsAtOnce  = 64
+	handoffsARound  = 8
+	handoffsAtOnce  = 64 // of a daemon that drains
 )
 
 // Wake makes the control look at the shards at once.
@@ -65,16 +66,18 @@
 		c.forgotAt = now
 		c.h.forgetEnded(now)
 	}
-	if c.h.draining.Load() || (!woken && now.Sub(c.rowsAt) < rowsInterval) {
+	if c.h.draining.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.h.ctx, controlTimeout)
 	defer cancel()
-	if err := c.read(ctx); err != nil {
-		return
+	if woken || now.Sub(c.rowsAt) >= rowsInterval {
+		if err := c.read(ctx); err != nil {
+			return
+		}
+		c.rowsAt = now
+		c.take(ctx)
 	}
-	c.rowsAt = now
-	c.take(ctx)
 	c.handOff(ctx, now)
 }
 
@@ -170,10 +173,12 @@
 	}
 }
 
-// handOff gives up, one a round, a shard that has been assigned to another daemon for a while.
+// handOff gives up, a few a round, the shards that have been assigned to another daemon for a while.
 func (c *controller) handOff(ctx context.Context, now time.Time) {
 	h := c.h
 	assigned := ibisshard.Assign(h.cfg.Shards, h.cfg.View().IDs())
+	var g errgroup.Group
+	begun := 0
 	for s, sh := range h.shards {
 		if !sh.serving() || assigned[s] == h.cfg.Self || assigned[s] == "" {
 			delete(c.better, s)
@@ -184,12 +189,18 @@
 			c.better[s] = now
 			continue
 		}
-		if now.Sub(since) > handoffAfter {
+		if now.Sub(since) > handoffAfter && begun < handoffsARound {
 			delete(c.better, s)
-			h.handOff(ctx, sh, handoffQuiet)
-			return
+			begun++
+			g.Go(func() error {
+				h.handOff(ctx, sh, handoffQuiet)
+				return nil
+			})
 		}
 	}
+	if err := g.Wait(); err != nil {
+		log.WithField("error", err).Warn("ShardsNotHandedOver")
+	}
 }
 
 // handOff gives up a shard after its interactive requests have ended, and reports whether it has.
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -89,7 +89,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	h := &Holder{
-		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), searching: make(chan struct{}, maxSearches), sources: newSourceCache(cfg.Table, func(id string) bool { return cfg.View().Revoked[id] }),
+		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), searching: make(chan struct{}, maxSearches), sources: newSourceCache(cfg.Table),
 		refused: metrics.NewRegisteredCounter("RequestsRefused", cfg.Metrics),
 		ended:   metrics.NewRegisteredCounter("RequestsEnded", cfg.Metrics),
 	}
--- a/ibisholder/recover.go
+++ b/ibisholder/recover.go
@@ -64,7 +64,7 @@
 func (h *Holder) restore(sh *shard, row ibisshard.Row) ([]*entry, error) {
 	latest := make(map[ibiswork.ID]saved)
 	for _, source := range row.Sources {
-		records, err := h.sources.read(h.ctx, source)
+		records, err := h.sources.read(h.ctx, source, sh.heldSince())
 		if err != nil {
 			return nil, err
 		}
@@ -136,6 +136,7 @@
 			sh.mu.Lock()
 			sh.covered = true
 			sh.mu.Unlock()
+			log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "events": len(f.events)}).Info("ShardCovered")
 			return
 		}
 		time.Sleep(jitter(2 * locateInterval))
@@ -173,46 +174,42 @@
 	}
 }
 
-// sourceCache keeps the journals of revoked incarnations for a moment, since the shards of one daemon
-// share one journal.
+// sourceCache keeps the journals that were read last, since the shards of one daemon share one journal.
 type sourceCache struct {
 	table ibistable.Table
-	final func(incarnation string) bool // it certainly writes no more
 	mu    sync.Mutex
 	kept  map[string]cachedSource
 }
 
 type cachedSource struct {
 	records []ibisjournal.Record
-	at      time.Time
+	begun   time.Time // when the reading began
 }
 
-func newSourceCache(t ibistable.Table, final func(string) bool) *sourceCache {
-	return &sourceCache{table: t, final: final, kept: make(map[string]cachedSource)}
+func newSourceCache(t ibistable.Table) *sourceCache {
+	return &sourceCache{table: t, kept: make(map[string]cachedSource)}
 }
 
-// read returns the records of a journal. A journal that may still be written is read anew each time.
-func (c *sourceCache) read(ctx context.Context, source string) ([]ibisjournal.Record, error) {
+// read returns the records of a journal as they were at since or later. An earlier holder writes nothing
+// more of a shard once the shard was taken, so a reading that began after that has all of them.
+func (c *sourceCache) read(ctx context.Context, source string, since time.Time) ([]ibisjournal.Record, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	begun := time.Now()
 	for id, s := range c.kept {
-		if now.Sub(s.at) > cacheFor {
+		if begun.Sub(s.begun) > cacheFor {
 			delete(c.kept, id)
 		}
 	}
-	if s, ok := c.kept[source]; ok {
+	if s, ok := c.kept[source]; ok && s.begun.After(since) {
 		return s.records, nil
 	}
-	final := c.final(source)
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	records, err := ibisjournal.Read(ctx, c.table, source)
 	if err != nil {
 		return nil, err
 	}
-	if final {
-		c.kept[source] = cachedSource{records: records, at: now}
-	}
+	c.kept[source] = cachedSource{records: records, begun: begun}
 	return records, nil
 }
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -94,6 +94,13 @@
 	return sh.epoch, sh.state != absent
 }
 
+// heldSince is when this life of the shard began, after its row was taken.
+func (sh *shard) heldSince() time.Time {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.since
+}
+
 // left is closed when this life of the shard has ended.
 func (sh *shard) left() <-chan struct{} {
 	sh.mu.Lock()
