--- a/ibisqueue/bench_test.go
+++ b/ibisqueue/bench_test.go
@@ -156,6 +156,22 @@
 	}
 }
 
+// BenchmarkOffer is one item pushed, offered without room and removed, while others wait.
+func BenchmarkOffer(b *testing.B) {
+	q := &ibisqueue.Queue{}
+	w := newBench(q, 8500, 0)
+	w.fleet = ibisplace.Fleet{}
+	w.push(20000)
+	w.round()
+	i := item("new", teamName(0), ibiswork.Interactive)
+	i.Each = res(12345, 1, 0, 1)
+	for b.Loop() {
+		q.Push(i)
+		q.Offer(start, i.ID, func(ibisqueue.Item) ibisqueue.Verdict { return ibisqueue.NoRoom })
+		q.Remove(i.ID)
+	}
+}
+
 // BenchmarkCancel is a wave of 10,000 cancellations among 50,000 waiting items, with a round of up to 100
 // starts after each 100 cancellations; the times of decisions are beside those without cancellations.
 func BenchmarkCancel(b *testing.B) {
@@ -232,6 +248,33 @@
 	}
 }
 
+// BenchmarkSharesOfManyTeams is the same with 140 teams of weights 1 to 5 on 350 servers.
+func BenchmarkSharesOfManyTeams(b *testing.B) {
+	weights := make([]float64, benchTeams)
+	for n := range weights {
+		weights[n] = float64(1 + n%5)
+	}
+	for _, age := range []time.Duration{tick, 3 * time.Second, 8 * time.Second} {
+		for _, plain := range []bool{false, true} {
+			for seed := uint64(1); seed <= 3; seed++ {
+				b.Run(fmt.Sprintf("age=%v/plain=%v/seed=%d", age, plain, seed), func(b *testing.B) {
+					s := shareRun{
+						owners: 7, servers: 50, weights: weights, age: age, plain: plain,
+						meanRun: 5 * time.Second, length: 40 * time.Second, seed: seed,
+					}
+					var r shareResult
+					for b.Loop() {
+						r = s.run()
+					}
+					b.ReportMetric(100*r.largest, "%largest")
+					b.ReportMetric(100*r.mean, "%mean")
+					b.ReportMetric(100*r.idle, "%idle")
+				})
+			}
+		}
+	}
+}
+
 // BenchmarkGangs reports how long two gangs that exclude each other wait on a full fleet.
 func BenchmarkGangs(b *testing.B) {
 	for _, kind := range []string{"reserving", "fifo"} {
--- a/ibisqueue/queue.go
+++ b/ibisqueue/queue.go
@@ -77,6 +77,7 @@
 	used      ibiswork.Resources // by all teams
 	room      ibiswork.Resources // free on this owner's servers
 	roomKnown bool
+	freed     bool // since the last Round
 	round     uint64
 	reserved  reservation
 	failed    failedSizes
--- a/ibisqueue/queue_test.go
+++ b/ibisqueue/queue_test.go
@@ -156,6 +156,26 @@
 	assert.Equal(t, taken, 1)
 }
 
+func TestOfferDoesNotOvertake(t *testing.T) {
+	var q ibisqueue.Queue
+	q.SetCapacity(res(100000, 100000, 0, 100))
+	yes := func(ibisqueue.Item) ibisqueue.Verdict { return ibisqueue.Taken }
+	no := func(ibisqueue.Item) ibisqueue.Verdict { return ibisqueue.NoRoom }
+	q.Push(item("1", "a", ibiswork.Batch))
+	assert.Assert(t, !q.Offer(start, "1", no))
+	q.Push(item("2", "a", ibiswork.Batch))
+	assert.Assert(t, !q.Offer(start, "2", yes), "an item like it waits")
+	q.Push(item("3", "b", ibiswork.Batch))
+	assert.Assert(t, q.Offer(start, "3", yes))
+	assert.Assert(t, !q.Offer(start, "3", yes), "it has left the queue")
+	q.Charge("b", res(-1000, 0, 0, -1))
+	q.Push(item("4", "b", ibiswork.Batch))
+	assert.Assert(t, !q.Offer(start, "4", yes), "something was freed")
+	q.Round(start, no)
+	assert.Assert(t, q.Offer(start, "4", yes))
+	assert.Equal(t, q.Len(), 2)
+}
+
 func TestExpired(t *testing.T) {
 	var q ibisqueue.Queue
 	for n, d := range []time.Duration{3 * time.Second, time.Second, 2 * time.Second, 0} {
@@ -244,6 +264,18 @@
 					}
 				}
 			},
+			"offer": func(t *rapid.T) {
+				id := ibiswork.ID(fmt.Sprintf("%05d", serial))
+				v := ibisqueue.Verdict(rapid.IntRange(0, 2).Draw(t, "verdict"))
+				asked := false
+				ok := q.Offer(now, id, func(ibisqueue.Item) ibisqueue.Verdict { asked = true; return v })
+				if _, waits := m[id]; ok != (asked && v == ibisqueue.Taken) || (asked && !waits) {
+					t.Fatalf("Offer %s: %v", id, ok)
+				}
+				if ok {
+					delete(m, id)
+				}
+			},
 			"round": func(t *rapid.T) {
 				verdicts := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 8).Draw(t, "verdicts")
 				offers, taken := 0, 0
--- a/ibisqueue/round.go
+++ b/ibisqueue/round.go
@@ -59,6 +59,7 @@
 func (q *Queue) Round(now time.Time, try func(Item) Verdict) (taken int) {
 	r := round{q: q, now: now, try: try, parked: q.parked[:0]}
 	q.round++
+	q.freed = false
 	q.reserved.lapse(now)
 	for _, t := range q.order {
 		t.blocked = false
@@ -70,7 +71,6 @@
 	r.run(false)
 	r.restore()
 	q.reserve(now, r.first)
-	q.roomKnown = false
 	return r.taken
 }
 
--- a/ibisqueue/share.go
+++ b/ibisqueue/share.go
@@ -64,6 +64,7 @@
 func (q *Queue) Charge(name string, delta ibiswork.Resources) {
 	t := q.team(name)
 	q.room = q.room.Sub(delta)
+	q.freed = q.freed || !ibiswork.Resources{}.FitsIn(delta)
 	q.charge(t, scaled(delta, t.scale))
 }
 
@@ -92,8 +93,8 @@
 	}
 }
 
-// SetRoom tells what is free on this owner's open servers, for the reservations of gangs. It is good for
-// the next Round; without it, all that no team uses in the fleet counts as free.
+// SetRoom tells what is free on this owner's open servers, for the reservations of gangs; Charge keeps it
+// up to date until the next call. Without any call, all that no team uses in the fleet counts as free.
 func (q *Queue) SetRoom(free ibiswork.Resources) { q.room, q.roomKnown = free, true }
 
 // free is the room in which gangs and others have to find a place.
