Hold tasks to their declared size when real use goes beyond a server's capacity

What a running task is measured to use beyond its counted size counts on its server at once, so nothing is placed into it; when the sum is above the capacity the furthest beyond are throttled first, then idempotent batch work is checkpointed and stopped.

--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -223,6 +223,7 @@
 	o.refreshClosed(now)
 	o.round(now)
 	o.preempt(now)
+	o.curbOveruse()
 	o.enforceLimits(now)
 	o.publishLoad()
 }
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -197,7 +197,7 @@
 	var used ibiswork.Resources
 	for _, t := range o.tasks {
 		if t.server == name && t.counted {
-			used = used.Add(t.size)
+			used = used.Add(t.size.Add(t.extra))
 		}
 	}
 	return used
@@ -287,6 +287,7 @@
 		}
 		if !ended {
 			t.started = true
+			o.measure(t, r)
 			continue
 		}
 		e := o.fromRecord(t, r)
--- a/ibisowner/task.go
+++ b/ibisowner/task.go
@@ -28,7 +28,12 @@
 	lease    ibischart.Machine
 	hasLease bool
 	stopping bool
-	item     *item
+
+	usage     ibiswork.Resources // as measured, with a lag
+	extra     ibiswork.Resources // of usage, what counts on the server beyond size
+	throttled bool               // the server holds it to its declared size
+	curbed    bool               // the server was asked to
+	item      *item
 }
 
 // count books what t takes of its server.
@@ -60,7 +65,8 @@
 		return
 	}
 	t.counted = false
-	o.fleet.Use(t.server, ibiswork.Resources{}.Sub(t.size))
+	o.fleet.Use(t.server, ibiswork.Resources{}.Sub(t.size.Add(t.extra)))
+	t.extra = ibiswork.Resources{}
 	o.noteService(t, -1)
 	o.wantRound()
 	free(t.meta.Team, t.size)
