Report the end of a task that an earlier owner started

Cause: a task taken over from an earlier owner was not marked as sent. When its VM was gone, its lease had lapsed or its server had lost its memory, no Lost event was sent, so its request waited for ever; a Release did not stop it either. Ruled out: the holder finds out by itself (it looks again only when the owner leaves the view). Change: an adopted task counts as sent. Before: TestTaskOfEarlierOwnerIsReportedLost (5 cases) and TestReleaseStopsTaskOfEarlierOwner fail. After: they pass with -race. Conclusion: an accepted job on a lost server ends also after a takeover.

--- /dev/null
+++ b/ibisowner/owner_test.go
@@ -0,0 +1,183 @@
+package ibisowner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+const (
+	testShards = 4
+	testServer = "server-1"
+	testTeam   = "tuul"
+)
+
+var (
+	testSize = ibiswork.Resources{MilliCPU: 1000, MemoryMB: 100, Slots: 1}
+	testVM   = ibisserver.VM{Name: testServer, Address: "127.0.0.1:1", FailureDomain: "a", Rack: "a-1"}
+)
+
+// ledgerFake lets every use pass and keeps the balance. Its fields are owned by the owner's loop.
+type ledgerFake struct{ used, lost map[string]ibiswork.Resources }
+
+func newLedgerFake() *ledgerFake {
+	return &ledgerFake{used: map[string]ibiswork.Resources{}, lost: map[string]ibiswork.Resources{}}
+}
+
+func (l *ledgerFake) TryUse(team string, r ibiswork.Resources) bool { l.Use(team, r); return true }
+func (l *ledgerFake) Use(team string, r ibiswork.Resources)         { l.used[team] = l.used[team].Add(r) }
+func (l *ledgerFake) Free(team string, r ibiswork.Resources)        { l.used[team] = l.used[team].Sub(r) }
+func (l *ledgerFake) Want(string, ibiswork.Resources)               {}
+
+func (l *ledgerFake) Lose(team string, r ibiswork.Resources) {
+	l.Free(team, r)
+	l.lost[team] = l.lost[team].Add(r)
+}
+
+// noHolder knows the holder of no shard, so that reports stay in the outbox.
+type noHolder struct{}
+
+func (noHolder) Holder(int) (ibiswire.Holder, string, bool) { return ibiswire.Holder{}, "", false }
+
+// serverFake is a backend server whose calls are functions; one that is not set blocks until the call ends.
+type serverFake struct {
+	start   func(ibisserver.StartRequest) (ibisserver.Reply, error)
+	control func(ibisserver.ControlRequest) (ibisserver.Reply, error)
+}
+
+func (s *serverFake) Claim(ctx context.Context, _ ibisserver.ClaimRequest) (ibisserver.ClaimReply, error) {
+	<-ctx.Done()
+	return ibisserver.ClaimReply{}, ibisserver.Unknown.Wrap(ctx.Err())
+}
+
+func (s *serverFake) Start(ctx context.Context, r ibisserver.StartRequest) (ibisserver.Reply, error) {
+	if s.start == nil {
+		<-ctx.Done()
+		return ibisserver.Reply{}, ibisserver.Unknown.Wrap(ctx.Err())
+	}
+	return s.start(r)
+}
+
+func (s *serverFake) Renew(ctx context.Context, _ ibisserver.RenewRequest) (ibisserver.Reply, error) {
+	<-ctx.Done()
+	return ibisserver.Reply{}, ibisserver.Unknown.Wrap(ctx.Err())
+}
+
+func (s *serverFake) Control(ctx context.Context, r ibisserver.ControlRequest) (ibisserver.Reply, error) {
+	if s.control == nil {
+		<-ctx.Done()
+		return ibisserver.Reply{}, ibisserver.Unknown.Wrap(ctx.Err())
+	}
+	return s.control(r)
+}
+
+func (s *serverFake) Poll(ctx context.Context, _ ibisserver.PollRequest) (ibisserver.Reply, error) {
+	<-ctx.Done()
+	return ibisserver.Reply{}, ibisserver.Unknown.Wrap(ctx.Err())
+}
+
+// newTestOwner makes an owner that claims nothing by itself, since it has no news; the tests hand it the
+// replies of the server.
+func newTestOwner(t *testing.T, srv *serverFake) (*Owner, *ledgerFake) {
+	t.Helper()
+	ledger := newLedgerFake()
+	o, stop := New(Config{
+		Self: "owner-a", Lease: time.Hour, Shards: testShards, Ledger: ledger, Directory: noHolder{},
+		Dial:     func(string) (ibisserver.Server, func()) { return srv, func() {} },
+		Snapshot: func() *ibisconfig.Snapshot { return &ibisconfig.Snapshot{} },
+		HasNews:  func(time.Time) bool { return false },
+	})
+	t.Cleanup(stop)
+	return o, ledger
+}
+
+func do(t *testing.T, o *Owner, fn func()) {
+	t.Helper()
+	assert.NilError(t, o.loop.Do(context.Background(), fn))
+}
+
+// claimed makes the owner of testServer, which reports records. It runs on the loop.
+func claimed(o *Owner, epoch int64, records ...ibisserver.Record) *server {
+	if o.servers[testServer] == nil {
+		o.setServers([]ibisserver.VM{testVM}, nil)
+	}
+	s := o.servers[testServer]
+	o.claimedServer(s, ibisserver.ClaimReply{
+		Clock: 1000, Epoch: epoch, Server: testServer, Capacity: ibiswork.Resources{MilliCPU: 16000, MemoryMB: 64000, Slots: 8}, Records: records,
+	}, epoch)
+	return s
+}
+
+func testID(i int) ibiswork.ID {
+	return ibiswork.ID("019a0000-0000-7000-8000-00000000000" + string(rune('0'+i)))
+}
+
+func testRecord(id ibiswork.ID, state ibisserver.State) ibisserver.Record {
+	meta := ibiswire.Meta{Shard: id.Shard(testShards), Team: testTeam, Class: ibiswork.Batch, Idempotent: true, Tasks: 1}
+	b, err := cbor.Marshal(meta)
+	if err != nil {
+		panic(err)
+	}
+	return ibisserver.Record{
+		Task:  ibisserver.Task{ID: ibisserver.TaskID{Request: id, Attempt: 1}, Team: testTeam, Class: ibiswork.Batch, Resources: testSize, Note: b},
+		State: state, StartedAt: 500,
+	}
+}
+
+func reported(o *Owner, r ibisserver.Record) ibiswire.EventState {
+	if out := o.outbox[r.Task.ID]; out != nil {
+		return out.event.State
+	}
+	return ""
+}
+
+func TestTaskOfEarlierOwnerIsReportedLost(t *testing.T) {
+	for name, lose := range map[string]func(o *Owner, s *server){
+		"VMGone":       func(o *Owner, _ *server) { o.setServers(nil, map[string]bool{testServer: true}) },
+		"Lapsed":       func(o *Owner, s *server) { o.lapse(s) },
+		"MemoryLost":   func(o *Owner, _ *server) { claimed(o, 2) },
+		"SilentLease":  func(o *Owner, s *server) { o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+2*driftMargin)) },
+		"LostThenGone": func(o *Owner, s *server) { o.lapse(s); o.setServers(nil, map[string]bool{testServer: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, ledger := newTestOwner(t, &serverFake{})
+			r := testRecord(testID(1), ibisserver.Running)
+			do(t, o, func() {
+				s := claimed(o, 1, r)
+				assert.Equal(t, ledger.used[testTeam], testSize)
+				lose(o, s)
+				assert.Equal(t, reported(o, r), ibiswire.TaskLost)
+				assert.Assert(t, o.outbox[r.Task.ID].event.Ran)
+				assert.Equal(t, len(o.tasks), 0)
+				assert.Assert(t, ledger.used[testTeam].IsZero())
+			})
+		})
+	}
+}
+
+func TestReleaseStopsTaskOfEarlierOwner(t *testing.T) {
+	r := testRecord(testID(1), ibisserver.Running)
+	stops := make(chan ibisserver.ControlRequest, 1)
+	o, _ := newTestOwner(t, &serverFake{control: func(c ibisserver.ControlRequest) (ibisserver.Reply, error) {
+		stops <- c
+		ended := r
+		ended.State, ended.EndedAt = ibisserver.Stopped, 2000
+		return ibisserver.Reply{Clock: 2000, Records: []ibisserver.Record{ended}}, nil
+	}})
+	do(t, o, func() { claimed(o, 1, r) })
+	from := ibiswire.Holder{Shard: testID(1).Shard(testShards), Epoch: 1}
+	reply, err := o.Release(context.Background(), &ibiswire.ReleaseRequest{From: from, ID: testID(1), Attempt: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Stopping)
+	c := <-stops
+	assert.Equal(t, c.Action, ibisserver.Stop)
+	assert.DeepEqual(t, c.Tasks, []ibisserver.TaskID{r.Task.ID})
+}
--- a/ibisowner/task.go
+++ b/ibisowner/task.go
@@ -24,7 +24,7 @@
 	declared ibiswork.Resources
 	counted  bool
 	started  bool // the server has confirmed that it was started
-	sent     bool // a start was sent
+	sent     bool // a start was sent, by this owner or an earlier one
 	lease    ibischart.Machine
 	hasLease bool
 	stopping bool
@@ -148,8 +148,8 @@
 func (o *Owner) adopt(name string, r ibisserver.Record) *task {
 	t := &task{
 		id: r.Task.ID, kind: r.Task.Kind, server: name, size: r.Task.Resources, declared: r.Task.Resources,
-		started: r.StartedAt > 0,
-		meta:    ibiswire.Meta{Shard: r.Task.ID.Request.Shard(o.cfg.Shards), Team: r.Task.Team, Class: r.Task.Class, Tasks: 1},
+		started: r.StartedAt > 0, sent: true,
+		meta: ibiswire.Meta{Shard: r.Task.ID.Request.Shard(o.cfg.Shards), Team: r.Task.Team, Class: r.Task.Class, Tasks: 1},
 	}
 	t.size.Slots = max(t.size.Slots, 1)
 	if len(r.Task.Note) > 0 {
