Keep the end of a task when an overtaken reply calls it running

Cause: replies of polls, renewals and stops of one server run side by side. A reply that was made before a task's end and taken in after it was adopted as a new running task, and its event replaced the end that waited in the outbox: the holder never heard of the end, and the place stayed counted. Change: while an end from the server's record is being reported, other records of the task are passed over. Before: TestLateRunningRecordDoesNotHideAnEnd fails (outbox says Running). After: it passes with -race. Conclusion: the order of replies does not matter for an end that has been seen.

--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -181,3 +181,17 @@
 	assert.Equal(t, c.Action, ibisserver.Stop)
 	assert.DeepEqual(t, c.Tasks, []ibisserver.TaskID{r.Task.ID})
 }
+
+func TestLateRunningRecordDoesNotHideAnEnd(t *testing.T) {
+	o, ledger := newTestOwner(t, &serverFake{})
+	r := testRecord(testID(1), ibisserver.Running)
+	ended := testRecord(testID(1), ibisserver.Done)
+	do(t, o, func() {
+		s := claimed(o, 1, r)
+		o.records(s, []ibisserver.Record{ended}, time.Now())
+		o.records(s, []ibisserver.Record{r}, time.Now()) // a reply that was overtaken
+		assert.Equal(t, reported(o, r), ibiswire.TaskDone)
+		assert.Equal(t, len(o.tasks), 0)
+		assert.Assert(t, ledger.used[testTeam].IsZero())
+	})
+}
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -272,8 +272,8 @@
 		t := o.tasks[r.Task.ID]
 		ended := r.State != ibisserver.Running
 		if t == nil {
-			if _, reporting := o.outbox[r.Task.ID]; reporting && ended {
-				continue
+			if out := o.outbox[r.Task.ID]; out != nil && (ended || endedOnRecord(out.event.State)) {
+				continue // its end is being reported; a reply that says otherwise was overtaken
 			}
 			t = o.adopt(s.vm.Name, r)
 			if !ended {
@@ -296,6 +296,9 @@
 	}
 }
 
+// endedOnRecord reports whether a server's own record has said that the task ended.
+func endedOnRecord(s ibiswire.EventState) bool { return s.Ended() && s != ibiswire.TaskLost }
+
 // renewals extends the leases of the running tasks of s.
 func (o *Owner) renewals(ctx context.Context, s *server) {
 	for sleep(ctx, o.cfg.Lease/4) {
