Let a former owner declare no task lost

Cause: an owner keeps a claimed server after another daemon was made its owner, until it is fenced. When it could not reach the server it took all of its leases for ended and reported its tasks as lost, though the new owner may have claimed the server and renew them: the tasks were started again elsewhere while they ran. Ruled out: the fence (it is only seen by an owner that reaches the server). Change: such an owner gives the server up and tells the holders to look for its tasks; it does not claim a server from the daemon that is to own it. Before: TestFormerOwnerDeclaresNoTaskLost fails (the server is kept and the task reported Lost). After: it passes with -race. Conclusion: Lost is said only by a daemon that is to own the server.

--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -195,3 +195,19 @@
 		assert.Assert(t, ledger.used[testTeam].IsZero())
 	})
 }
+
+func TestFormerOwnerDeclaresNoTaskLost(t *testing.T) {
+	o, ledger := newTestOwner(t, &serverFake{})
+	r := testRecord(testID(1), ibisserver.Running)
+	do(t, o, func() {
+		s := claimed(o, 1, r)
+		o.setServers(nil, nil) // another daemon is to own it and may have claimed it
+		delete(o.outbox, r.Task.ID)
+		o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+2*driftMargin))
+		assert.Equal(t, reported(o, r), ibiswire.TaskRunning)
+		assert.Equal(t, o.outbox[r.Task.ID].event.Owner, "") // the holder is to look for its owner
+		assert.Assert(t, o.servers[testServer] == nil)
+		assert.Assert(t, ledger.used[testTeam].IsZero())
+		assert.Equal(t, ledger.lost[testTeam], testSize)
+	})
+}
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -36,6 +36,7 @@
 	seq     int64
 	count   int // tasks counted on it
 	leaving bool
+	foreign bool   // another daemon is to own it and may have claimed it
 	aside   string // reason given by an operator
 	kick    context.CancelFunc
 	forgets []ibisserver.TaskID
@@ -61,7 +62,9 @@
 				o.loseServer(s, false)
 			}
 			// A claimed server is kept until its new owner fences this one, so that it never has none.
+			s.foreign = true
 		default:
+			s.foreign = false
 			s.leaving = vm.State == ibisserver.Leaving
 		}
 	}
@@ -156,6 +159,9 @@
 		switch {
 		case err == nil:
 			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch) }) == nil
+		case ibisserver.Fenced.Has(err) && o.isForeign(ctx, s):
+			o.fenced(s)
+			return false
 		case ibisserver.Fenced.Has(err):
 			epoch = max(epoch, reply.Epoch) + 1
 		default:
@@ -165,6 +171,12 @@
 	return false
 }
 
+// isForeign reports whether another daemon is to own s; it is not claimed from that one.
+func (o *Owner) isForeign(ctx context.Context, s *server) (foreign bool) {
+	_ = o.loop.Do(ctx, func() { foreign = s.foreign })
+	return foreign
+}
+
 // claimedServer takes in a server's list of tasks: they count before anything is placed.
 func (o *Owner) claimedServer(s *server, reply ibisserver.ClaimReply, epoch int64) {
 	if o.servers[s.vm.Name] != s {
@@ -364,7 +376,11 @@
 		return
 	}
 	if s.claimed {
-		if now.Sub(s.heardAt) > o.cfg.Lease+driftMargin {
+		switch {
+		case now.Sub(s.heardAt) <= o.cfg.Lease+driftMargin:
+		case s.foreign:
+			o.giveUp(s)
+		default:
 			o.lapse(s)
 		}
 		return
@@ -375,6 +391,24 @@
 	}
 }
 
+// giveUp forgets an unreachable server that another daemon is to own. That daemon may renew the leases of
+// its tasks, so none of them is lost; their holders are told to look for them.
+func (o *Owner) giveUp(s *server) {
+	var events []ibiswire.TaskEvent
+	for _, t := range o.tasks {
+		if t.server == s.vm.Name && t.sent {
+			e := o.event(t, ibiswire.TaskRunning)
+			e.Owner = ""
+			events = append(events, e)
+		}
+	}
+	log.WithField("server", s.vm.Name).Warn("ServerGivenUp")
+	o.loseServer(s, false)
+	for _, e := range events {
+		o.send(e, nil)
+	}
+}
+
 func (o *Owner) lapse(s *server) {
 	s.lapsed = true
 	log.WithField("server", s.vm.Name).Warn("ServerLapsed")
