Look for a task that a former owner calls lost

Cause: the holder believed a Lost event of any daemon, also of one whose server had been claimed by another owner that reported the task as running; the task was then started twice. An earlier run of non-idempotent work that was known only from such an event was forgotten at the next conclusion. Change: Lost from another than the present owner starts a search instead, and what it says of a run is kept; non-idempotent work that may have run is not queued again. Before: TestLostOfFormerOwnerIsLookedInto and TestNonIdempotentWorkThatRanIsNotQueuedAgain fail. After: they and the table of all conclusions pass with -race. Conclusion: a task is queued again only on the word of its owner, or after a search.

--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -159,6 +159,13 @@
 		}
 		return ibiswire.Taken
 	}
+	if last := e.owners[ev.Task.Index]; ev.State == ibiswire.TaskLost && last != "" && last != ev.Owner {
+		// A former owner knows nothing of the leases that the present one gives.
+		e.owners[ev.Task.Index] = ""
+		e.saved.Ran = e.saved.Ran || ev.Ran
+		e.poke()
+		return ibiswire.Taken
+	}
 	e.owners[ev.Task.Index] = ev.Owner
 	if old, ok := e.tasks[ev.Task.Index]; !ok || !old.State.Ended() {
 		e.tasks[ev.Task.Index] = ev
--- a/ibisholder/outcome.go
+++ b/ibisholder/outcome.go
@@ -59,7 +59,7 @@
 		ID: e.id, Outcome: ibiswork.Done, Result: e.result(), Error: worst.Error, Server: worst.Server,
 		Attempts: e.saved.Attempt, WaitMS: e.saved.WaitMS, RunMS: worst.RunMS,
 	}
-	again := e.saved.Request.Idempotent || !e.anyRan()
+	again := e.saved.Request.Idempotent || (!e.anyRan() && !e.saved.Ran)
 	switch {
 	case worst.State == ibiswire.TaskDone:
 		e.finish("Finish", a, nil, now)
