--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"ibiscrank/ibisjournal"
 	"ibiscrank/ibispeer"
+	"ibiscrank/ibisretry"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibiswire"
 	"ibiscrank/ibiswork"
@@ -174,6 +176,11 @@
 		e.mu.Unlock()
 		return
 	}
+	if delay, due := h.retryDelay(e); due {
+		e.mu.Unlock()
+		pause(ctx, e, delay)
+		return
+	}
 	now := time.Now()
 	wait := durableWait
 	if left, bounded := e.timeLeft(now); bounded {
@@ -206,6 +213,27 @@
 	h.placed(ctx, e, reply, err)
 }
 
+// retryDelay is how long a request whose task has failed waits before it is tried again: a backoff, or
+// the longest one when its team has used up its budget of retries.
+func (h *Holder) retryDelay(e *entry) (time.Duration, bool) {
+	if !e.retryDue {
+		return 0, false
+	}
+	e.retryDue = false
+	h.retryMu.Lock()
+	defer h.retryMu.Unlock()
+	var b ibisretry.Backoff
+	if !h.retries.Withdraw(e.saved.Request.Team) {
+		return ibisretry.DefaultMax, true
+	}
+	return b.Delay(e.saved.Failures, globalRand{}), true
+}
+
+// globalRand draws jitter from the process's source of randomness.
+type globalRand struct{}
+
+func (globalRand) Float64() float64 { return rand.Float64() }
+
 // placed takes in the reply to a Place call.
 func (h *Holder) placed(ctx context.Context, e *entry, reply *ibiswire.PlaceReply, err error) {
 	if err != nil {
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -73,7 +73,8 @@
 	accepted   time.Time
 	endedAt    time.Time
 	avoid      []string
-	searches   int // since the attempt was lost
+	searches   int  // since the attempt was lost
+	retryDue   bool // its task has failed; the next try waits
 	waiting    bool
 	journalled bool // an earlier holder handed it on through its journal
 	driven     bool
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -25,6 +25,7 @@
 	"ibiscrank/ibisconfig"
 	"ibiscrank/ibisjournal"
 	"ibiscrank/ibispeer"
+	"ibiscrank/ibisretry"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibisserver"
 	"ibiscrank/ibisshard"
@@ -76,6 +77,8 @@
 	draining  atomic.Bool
 	sources   *sourceCache
 	flow      flow
+	retryMu   sync.Mutex
+	retries   ibisretry.Budget
 	searching chan struct{}
 
 	refused metrics.Counter
@@ -174,6 +177,9 @@
 		return e, nil
 	}
 	h.queued.Add(1)
+	h.retryMu.Lock()
+	h.retries.Deposit(r.Team)
+	h.retryMu.Unlock()
 	if r.Class.Durable() {
 		if err := h.acceptDurable(ctx, sh, e); err != nil {
 			return nil, err
--- a/ibisholder/outcome.go
+++ b/ibisholder/outcome.go
@@ -73,6 +73,7 @@
 		e.saved.Ran = e.saved.Ran || e.anyRan()
 		if worst.State == ibiswire.TaskFailed {
 			e.saved.Failures++
+			e.retryDue = true
 			e.avoid = append(e.avoid, worst.Server)
 		}
 		if len(worst.Checkpoint) > 0 {
--- a/ibisowner/owner.go
+++ b/ibisowner/owner.go
@@ -47,7 +47,6 @@
 	tickInterval  = 100 * time.Millisecond
 	loopQueue     = 4096
 	OrphanRenewal = 60 * time.Second // an owner without any news renews no longer than this
-	driftMargin   = 1 * time.Second
 )
 
 // Pauses between rounds of the queue.
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"ibiscrank/ibislease"
 	"ibiscrank/ibisplace"
 	"ibiscrank/ibisserver"
 	"ibiscrank/ibiswire"
@@ -19,6 +20,7 @@
 	claimTimeout = 2 * time.Second
 	retryDelay   = 200 * time.Millisecond
 	reclaimDelay = 1 * time.Second
+	lapseSilence = 4 * time.Second // without a word before a server without leases counts as lapsed
 )
 
 // server is one backend server that this daemon owns or tries to own. Fields are owned by the loop,
@@ -31,8 +33,10 @@
 	claimed bool
 	lapsed  bool // every lease has certainly ended
 	epoch   int64
-	reading int64     // highest clock reading, in the server's clock
-	heardAt time.Time // local time at which it came
+	clock   ibislease.Clock
+	horizon ibislease.Horizon // of all leases on it
+	reading int64             // highest clock reading, in the server's clock
+	heardAt time.Time         // local time at which it came
 	seq     int64
 	count   int // tasks counted on it
 	leaving bool
@@ -150,12 +154,13 @@
 	}
 	epoch := s.epoch + 1
 	for range 3 {
+		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		reply, err := s.api.Claim(callCtx, ibisserver.ClaimRequest{Epoch: epoch, Owner: o.cfg.Self})
 		cancel()
 		switch {
 		case err == nil:
-			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch) }) == nil
+			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch, sent) }) == nil
 		case ibisserver.Fenced.Has(err):
 			epoch = max(epoch, reply.Epoch) + 1
 		default:
@@ -166,13 +171,20 @@
 }
 
 // claimedServer takes in a server's list of tasks: they count before anything is placed.
-func (o *Owner) claimedServer(s *server, reply ibisserver.ClaimReply, epoch int64) {
+func (o *Owner) claimedServer(s *server, reply ibisserver.ClaimReply, epoch int64, sent time.Time) {
 	if o.servers[s.vm.Name] != s {
 		return
 	}
 	now := time.Now()
 	s.claimed, s.lapsed, s.epoch, s.seq = true, false, epoch, reply.Seq
-	s.reading, s.heardAt = reply.Clock, now
+	s.clock, s.horizon = ibislease.Clock{}, ibislease.Horizon{}
+	s.reading = 0
+	o.read(s, reply.Clock, sent)
+	for _, r := range reply.Records {
+		if r.State == ibisserver.Running {
+			s.horizon = s.horizon.With(r.LeaseEnd)
+		}
+	}
 	o.fleet.Put(ibisplace.Server{
 		Name: s.vm.Name, FailureDomain: s.vm.FailureDomain, Rack: s.vm.Rack, Capacity: reply.Capacity,
 		Used: o.countedOn(s.vm.Name), Closed: true,
@@ -225,13 +237,14 @@
 		}) != nil {
 			return
 		}
+		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(pollCtx, pollTimeout)
 		reply, err := s.api.Poll(callCtx, req)
 		cancel()
 		switch {
 		case err == nil:
 			failures = 0
-			if o.loop.Do(pollCtx, func() { o.polled(s, reply) }) != nil {
+			if o.loop.Do(pollCtx, func() { o.polled(s, reply, sent) }) != nil {
 				return
 			}
 		case ibisserver.Fenced.Has(err):
@@ -247,25 +260,34 @@
 	}
 }
 
-func (o *Owner) polled(s *server, reply ibisserver.Reply) {
+func (o *Owner) polled(s *server, reply ibisserver.Reply, sent time.Time) {
 	if o.servers[s.vm.Name] != s {
 		return
 	}
 	now := time.Now()
-	o.read(s, reply.Clock, now)
+	o.read(s, reply.Clock, sent)
 	s.seq = max(s.seq, reply.Seq)
 	if len(reply.Records) > 0 {
 		o.records(s, reply.Records, now)
 	}
 }
 
-// read keeps the highest clock reading of s.
-func (o *Owner) read(s *server, clock int64, now time.Time) {
+// read takes in a clock reading of s, which came in reply to a call sent at sent.
+func (o *Owner) read(s *server, clock int64, sent time.Time) {
+	now := time.Now()
+	s.clock, _ = s.clock.With(ibislease.Reading{Value: clock, Sent: sent, Received: now})
 	if clock > s.reading {
 		s.reading, s.heardAt = clock, now
 	}
 }
 
+// lease is the end of a lease that is given on s now.
+func (o *Owner) lease(s *server) int64 {
+	end := ibislease.RenewalEnd(s.reading, o.cfg.Lease)
+	s.horizon = s.horizon.With(end)
+	return end
+}
+
 // records takes in what the server says of its tasks.
 func (o *Owner) records(s *server, records []ibisserver.Record, now time.Time) {
 	for _, r := range records {
@@ -306,12 +328,13 @@
 		if len(req.Leases) == 0 {
 			continue
 		}
+		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 		reply, err := s.api.Renew(callCtx, req)
 		cancel()
 		switch {
 		case err == nil:
-			_ = o.loop.Do(ctx, func() { o.renewed(s, req, reply) })
+			_ = o.loop.Do(ctx, func() { o.renewed(s, req, reply, sent) })
 		case ibisserver.Fenced.Has(err):
 			o.fenced(s)
 			return
@@ -330,15 +353,15 @@
 	}
 	for _, t := range o.tasks {
 		if t.server == s.vm.Name && t.started && !t.stopping {
-			req.Leases = append(req.Leases, ibisserver.Lease{ID: t.id, End: s.reading + o.cfg.Lease.Milliseconds()})
+			req.Leases = append(req.Leases, ibisserver.Lease{ID: t.id, End: o.lease(s)})
 		}
 	}
 	return req
 }
 
-func (o *Owner) renewed(s *server, req ibisserver.RenewRequest, reply ibisserver.Reply) {
+func (o *Owner) renewed(s *server, req ibisserver.RenewRequest, reply ibisserver.Reply, sent time.Time) {
 	now := time.Now()
-	o.read(s, reply.Clock, now)
+	o.read(s, reply.Clock, sent)
 	for _, l := range req.Leases {
 		if t := o.tasks[l.ID]; t != nil {
 			o.fireLease(t, "Renew")
@@ -361,13 +384,13 @@
 		return
 	}
 	if s.claimed {
-		if now.Sub(s.heardAt) > o.cfg.Lease+driftMargin {
+		if now.Sub(s.heardAt) > lapseSilence && s.horizon.Passed(s.clock, now) {
 			o.lapse(s)
 		}
 		return
 	}
 	// Never claimed here: an earlier owner without news may have renewed for OrphanRenewal.
-	if now.Sub(s.since) > OrphanRenewal+o.cfg.Lease+driftMargin {
+	if (ibislease.Horizon{}).WithOwner(s.since.Add(OrphanRenewal), o.cfg.Lease, 0).Passed(s.clock, now) {
 		s.lapsed = true
 	}
 }
--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -131,11 +131,12 @@
 			}
 			return badServer, err
 		}
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
 		reply, err := srv.api.Start(ctx, req)
 		cancel()
 		if err == nil {
-			_ = o.loop.Do(o.ctx, func() { o.confirmStart(srv, t, reply) })
+			_ = o.loop.Do(o.ctx, func() { o.confirmStart(srv, t, reply, sent) })
 			return didStart, nil
 		}
 		last = err
@@ -180,7 +181,7 @@
 				RunTimeMS: it.req.RunTimeMS, Payload: it.req.Payload, Note: note(t.meta),
 			},
 			StartBy:  s.reading + StartWindow.Milliseconds(),
-			LeaseEnd: s.reading + o.cfg.Lease.Milliseconds(),
+			LeaseEnd: o.lease(s),
 		}
 	})
 	if doErr != nil {
@@ -190,8 +191,8 @@
 }
 
 // confirmStart books that the server has a record of t.
-func (o *Owner) confirmStart(s *server, t *task, reply ibisserver.Reply) {
-	o.read(s, reply.Clock, time.Now())
+func (o *Owner) confirmStart(s *server, t *task, reply ibisserver.Reply, sent time.Time) {
+	o.read(s, reply.Clock, sent)
 	if o.tasks[t.id] != t {
 		return // its end has been seen already
 	}
