--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
 
 	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibisjournal"
 	"ibiscrank/ibisshard"
+	"ibiscrank/ibiswire"
 )
 
 // Times of the control of shards.
@@ -15,9 +18,13 @@
 	controlInterval = 500 * time.Millisecond
 	rowsInterval    = 2 * time.Second // between reads of all rows while nothing has changed
 	controlTimeout  = 5 * time.Second
-	handoffAfter    = 5 * time.Second // that another daemon has been the better holder
-	handoffQuiet    = 3 * time.Second // for interactive requests of the shard to end
+	handoffAfter    = 5 * time.Second        // that another daemon has been the better holder
+	handoffQuiet    = 800 * time.Millisecond // for interactive requests of the shard to end
 	forgetInterval  = 5 * time.Second
+	handoffsARound  = 8
+	answersFor      = 30 * time.Second // that answers kept in memory alone are handed on
+	maxAnswers      = 2048             // of one shard
+	handoffsAtOnce  = 64               // of a daemon that drains
 )
 
 // Wake makes the control look at the shards at once.
@@ -62,16 +69,18 @@
 		c.forgotAt = now
 		c.h.forgetEnded(now)
 	}
-	if c.h.draining.Load() || (!woken && now.Sub(c.rowsAt) < rowsInterval) {
+	if c.h.draining.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.h.ctx, controlTimeout)
 	defer cancel()
-	if err := c.read(ctx); err != nil {
-		return
+	if woken || now.Sub(c.rowsAt) >= rowsInterval {
+		if err := c.read(ctx); err != nil {
+			return
+		}
+		c.rowsAt = now
+		c.take(ctx)
 	}
-	c.rowsAt = now
-	c.take(ctx)
 	c.handOff(ctx, now)
 }
 
@@ -147,6 +156,11 @@
 		return
 	}
 	taken, err := ibisshard.TakeMany(ctx, h.cfg.Table, h.cfg.Fence, free, h.cfg.Self)
+	hint := &ibiswire.ShardsMoved{}
+	for _, row := range taken {
+		hint.Taken = append(hint.Taken, ibiswire.Holder{Shard: row.Shard, Epoch: row.Epoch, Incarnation: h.cfg.Self})
+	}
+	h.tell(hint)
 	for _, row := range taken {
 		h.setRow(row)
 		h.shards[row.Shard].become(reading, row.Epoch)
@@ -162,10 +176,12 @@
 	}
 }
 
-// handOff gives up, one a round, a shard that has been assigned to another daemon for a while.
+// handOff gives up, a few a round, the shards that have been assigned to another daemon for a while.
 func (c *controller) handOff(ctx context.Context, now time.Time) {
 	h := c.h
 	assigned := ibisshard.Assign(h.cfg.Shards, h.cfg.View().IDs())
+	var g errgroup.Group
+	begun := 0
 	for s, sh := range h.shards {
 		if !sh.serving() || assigned[s] == h.cfg.Self || assigned[s] == "" {
 			delete(c.better, s)
@@ -176,16 +192,23 @@
 			c.better[s] = now
 			continue
 		}
-		if now.Sub(since) > handoffAfter {
+		if now.Sub(since) > handoffAfter && begun < handoffsARound {
 			delete(c.better, s)
-			h.handOff(ctx, sh, handoffQuiet)
-			return
+			begun++
+			g.Go(func() error {
+				h.handOff(ctx, sh, handoffQuiet)
+				return nil
+			})
 		}
 	}
+	if err := g.Wait(); err != nil {
+		log.WithField("error", err).Warn("ShardsNotHandedOver")
+	}
 }
 
 // handOff gives up a shard after its interactive requests have ended, and reports whether it has.
 func (h *Holder) handOff(ctx context.Context, sh *shard, quiet time.Duration) bool {
+	epoch, _ := sh.held()
 	if !sh.setState(serving, handing) {
 		return false
 	}
@@ -195,19 +218,48 @@
 	}
 	sh.stop()
 	row := (*h.rows.Load())[sh.id]
-	released, err := ibisshard.Release(ctx, h.cfg.Table, h.cfg.Fence, row)
+	err := h.keepForNext(ctx, sh)
+	if err == nil {
+		row, err = ibisshard.Release(ctx, h.cfg.Table, h.cfg.Fence, row)
+	}
 	if err != nil {
 		log.WithFields(log.Fields{"shard": sh.id, "error": err}).Warn("ShardNotReleased")
 	} else {
-		h.setRow(released)
+		h.setRow(row)
+		h.tell(&ibiswire.ShardsMoved{Released: []int{sh.id}})
 		log.WithField("shard", sh.id).Info("ShardReleased")
 	}
 	// Without the drivers this life of the shard is over either way; a row that still names this daemon is
 	// taken again with a higher epoch.
-	sh.become(absent, row.Epoch)
+	sh.become(absent, epoch)
 	return err == nil
 }
 
+// keepForNext journals, for the next holder, what lives in memory alone: interactive requests that have
+// not been started yet, and the answers that callers may still ask for.
+func (h *Holder) keepForNext(ctx context.Context, sh *shard) error {
+	since := time.Now().Add(-answersFor)
+	var records []ibisjournal.Record
+	for _, e := range sh.all() {
+		e.mu.Lock()
+		class := e.saved.Request.Class
+		keep := e.known && !class.Durable() && e.state() != stateAccepted && (e.state() != stateEnded || e.endedAt.After(since))
+		e.mu.Unlock()
+		if !keep || len(records) >= maxAnswers {
+			continue
+		}
+		rec, err := h.record(e)
+		if err != nil {
+			return err
+		}
+		records = append(records, rec)
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return h.cfg.Journal.Append(ctx, records...)
+}
+
 // quiet waits until the shard has no request in progress that lives in memory alone.
 func (sh *shard) quiet(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -236,11 +288,19 @@
 // Drain takes no new requests, waits for those in progress, and gives up every shard.
 func (h *Holder) Drain(ctx context.Context) error {
 	h.draining.Store(true)
+	var g errgroup.Group
+	g.SetLimit(handoffsAtOnce)
 	for _, sh := range h.shards {
 		if sh.serving() {
-			h.handOff(ctx, sh, time.Until(deadlineOf(ctx)))
+			g.Go(func() error {
+				h.handOff(ctx, sh, time.Until(deadlineOf(ctx)))
+				return nil
+			})
 		}
 	}
+	if err := g.Wait(); err != nil {
+		return Error.Wrap(err)
+	}
 	if n := h.Held(); n > 0 {
 		return Error.New("%d shards could not be given up", n)
 	}
