--- a/cmd/ibiscapacity/main.go
+++ b/cmd/ibiscapacity/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/apex/log"
 
 	"ibiscrank/ibiscapacity"
 )
@@ -20,6 +21,7 @@
 
 // Run takes the measurements.
 func (c *cli) Run() error {
+	log.SetLevel(log.ErrorLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return ibiscapacity.Runner{Bin: c.Bin, Out: os.Stdout}.Run(ctx, c.Measurements...)
