Send operators' refusals with the statuses of the callers' interface

ibisadmin had a table of its own, which differed from ibisgate's and from docs/API.md for Stale, OutcomeUnknown, Unreachable and codes that it did not list. It now calls ibisgate.HTTPStatus. The Go client decided by status 503 whether to repeat; it decides by the code now, so that OutcomeUnknown (504) and Unreachable (502) are still repeated.

--- a/ibisadmin/help_test.go
+++ b/ibisadmin/help_test.go
@@ -18,6 +18,7 @@
 
 	"ibiscrank/ibisburn"
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisgate"
 	"ibiscrank/ibistablefake"
 	"ibiscrank/ibiswork"
 )
@@ -115,6 +116,6 @@
 	var r Refusal
 	assert.NilError(b, json.Unmarshal(w.Body.Bytes(), &r), w.Body.String())
 	assert.Equal(b, r.Code, want, w.Body.String())
-	assert.Assert(b, w.Code >= 400)
+	assert.Equal(b, w.Code, ibisgate.HTTPStatus(want))
 	return r
 }
--- a/ibisadmin/refusal.go
+++ b/ibisadmin/refusal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisgate"
 	"ibiscrank/ibiswork"
 )
 
@@ -53,25 +54,7 @@
 	return &Refusal{Refusal: *ibiswork.AsRefusal(err)}
 }
 
-var statuses = map[ibiswork.Code]int{
-	ibiswork.CodeBadRequest:       http.StatusBadRequest,
-	ibiswork.CodeTooLarge:         http.StatusRequestEntityTooLarge,
-	ibiswork.CodeUnauthorized:     http.StatusUnauthorized,
-	ibiswork.CodeForbidden:        http.StatusForbidden,
-	ibiswork.CodeNotFound:         http.StatusNotFound,
-	ibiswork.CodeConflict:         http.StatusConflict,
-	ibiswork.CodeStale:            http.StatusConflict,
-	ibiswork.CodeOutcomeUnknown:   http.StatusServiceUnavailable,
-	ibiswork.CodeStoreUnavailable: http.StatusServiceUnavailable,
-	ibiswork.CodeUnreachable:      http.StatusServiceUnavailable,
-}
-
-func (r *Refusal) status() int {
-	if s, ok := statuses[r.Code]; ok {
-		return s
-	}
-	return http.StatusInternalServerError
-}
+func (r *Refusal) status() int { return ibisgate.HTTPStatus(r.Code) }
 
 func writeRefusal(w http.ResponseWriter, r *Refusal) {
 	if r.RetryAfterMS > 0 {
--- a/ibisclient/admin.go
+++ b/ibisclient/admin.go
@@ -219,7 +219,12 @@
 	if json.Unmarshal(b, refusal) != nil || refusal.Code == "" {
 		return resp.StatusCode >= http.StatusInternalServerError, unknown(AdminError.New("status %d", resp.StatusCode))
 	}
-	return resp.StatusCode == http.StatusServiceUnavailable, refusal
+	return passes(refusal.Code), refusal
+}
+
+// passes says whether a refusal of operators' requests may pass by itself or at another daemon.
+func passes(c ibiswork.Code) bool {
+	return c == ibiswork.CodeStoreUnavailable || c == ibiswork.CodeOutcomeUnknown || c == ibiswork.CodeUnreachable
 }
 
 // unknown is a refusal that promises nothing, because the daemon may have acted before the reply was lost.
--- a/ibisclient/admin_test.go
+++ b/ibisclient/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"ibiscrank/ibisadmin"
 	"ibiscrank/ibisburn"
 	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisgate"
 	"ibiscrank/ibistablefake"
 	"ibiscrank/ibiswork"
 )
@@ -131,3 +133,20 @@
 	assert.Equal(t, refusal.Code, ibiswork.CodeUnreachable)
 	assert.Assert(t, refusal.NotRun)
 }
+
+func TestAdminRepeatsARefusalThatMayPass(t *testing.T) {
+	for _, code := range []ibiswork.Code{ibiswork.CodeStoreUnavailable, ibiswork.CodeOutcomeUnknown, ibiswork.CodeUnreachable} {
+		table := ibistablefake.New()
+		second, _, _ := adminDaemon(t, table)
+		calls := 0
+		first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls++
+			w.WriteHeader(ibisgate.HTTPStatus(code))
+			assert.Check(t, json.NewEncoder(w).Encode(ibiswork.Refuse(code, "away")) == nil)
+		}))
+		t.Cleanup(first.Close)
+		_, err := NewAdmin([]string{first.URL, second}, operatorKey).PutTeam(t.Context(), "", 0, ibisconfig.Team{Name: "tuul-floor", Share: 2})
+		assert.NilError(t, err, "%s", code)
+		assert.Equal(t, calls, 1, "%s", code)
+	}
+}
