--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -260,16 +260,18 @@
 	return h.cfg.Journal.Append(ctx, records...)
 }
 
-// quiet waits until the shard has no request in progress that lives in memory alone.
+// quiet waits until the shard has no request in progress that lives in memory alone, and none whose
+// acceptance is still being journalled.
 func (sh *shard) quiet(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for _, e := range sh.all() {
+		until := e.done
 		if e.isDurable() {
-			continue
+			until = e.accept // its acceptance must be in the journal before another daemon reads that
 		}
 		select {
-		case <-e.done:
+		case <-until:
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -38,31 +38,33 @@
 	if e.driven || e.state() == stateAccepted || e.state() == stateEnded {
 		return
 	}
-	ctx, ok := e.shard.drive()
-	if !ok {
+	if !e.shard.drive(e.life) {
+		h.leave(e)
 		return
 	}
 	e.driven = true
+	h.enter(e)
 	go func() {
 		defer e.shard.drivers.Done()
-		h.run(ctx, e)
+		h.run(e.life, e)
 	}()
 }
 
-// drive registers one more driver while the shard is held.
-func (sh *shard) drive() (context.Context, bool) {
+// drive registers one more driver while this life of the shard goes on.
+func (sh *shard) drive(life context.Context) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if sh.ctx.Err() != nil {
-		return nil, false
+	if life.Err() != nil {
+		return false
 	}
 	sh.drivers.Add(1)
-	return sh.ctx, true
+	return true
 }
 
 // run drives e from state to state until it has ended or the shard is given up.
 func (h *Holder) run(ctx context.Context, e *entry) {
 	defer h.count(e, stateEnded)
+	defer h.leave(e)
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		state := e.state()
@@ -86,6 +88,20 @@
 	}
 }
 
+// leave takes e, once, out of the number of requests in progress here.
+func (h *Holder) leave(e *entry) {
+	if e.counted.Swap(false) {
+		h.queued.Add(-1)
+	}
+}
+
+// enter counts e, once, among the requests in progress here.
+func (h *Holder) enter(e *entry) {
+	if !e.counted.Swap(true) {
+		h.queued.Add(1)
+	}
+}
+
 // count keeps the number of requests that wait and the rate of starts.
 func (h *Holder) count(e *entry, state string) {
 	waits := state == stateQueued || state == stateReserved || state == stateStarting
@@ -106,7 +122,7 @@
 
 // conclude journals the end of durable work, counts it, and lets it be forgotten in time.
 func (h *Holder) conclude(ctx context.Context, e *entry) {
-	h.queued.Add(-1)
+	h.leave(e)
 	h.ended.Inc(1)
 	e.mu.Lock()
 	r, ok := e.saved.Request, e.saved.Answer != nil && e.saved.Answer.Outcome != ibiswork.Failed
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -1,7 +1,9 @@
 package ibisholder
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -56,6 +58,7 @@
 type entry struct {
 	id    ibiswork.ID
 	shard *shard
+	life  context.Context // ends with the life of the shard to which the entry belongs
 
 	mu         sync.Mutex
 	saved      saved
@@ -78,12 +81,14 @@
 	waiting    bool
 	journalled bool // an earlier holder handed it on through its journal
 	driven     bool
-	stopSent   bool // the rest of a failed gang is being stopped
+	counted    atomic.Bool // in the number of requests in progress
+	stopSent   bool        // the rest of a failed gang is being stopped
 }
 
+// newEntry makes an entry of the present life of sh. Callers hold the lock of sh.
 func newEntry(sh *shard, r ibiswork.Request, now time.Time) *entry {
 	return &entry{
-		id: r.ID, shard: sh, known: true, accepted: now, durable: r.Durable(),
+		id: r.ID, shard: sh, life: sh.ctx, known: true, accepted: now, durable: r.Durable(),
 		saved:   saved{Epoch: sh.epoch, Request: r, AcceptedMS: now.UnixMilli(), Attempt: 1},
 		machine: ibischart.New(ibischart.Task), tasks: make(map[int]ibiswire.TaskEvent), owners: make(map[int]string),
 		signal: make(chan struct{}, 1), accept: make(chan struct{}), done: make(chan struct{}),
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -176,10 +176,10 @@
 	if !added {
 		return e, nil
 	}
-	h.queued.Add(1)
 	h.retryMu.Lock()
 	h.retries.Deposit(r.Team)
 	h.retryMu.Unlock()
+	h.enter(e)
 	if r.Class.Durable() {
 		if err := h.acceptDurable(ctx, sh, e); err != nil {
 			return nil, err
@@ -203,7 +203,7 @@
 	e.durable = false
 	e.finish("Refuse", nil, refusal, time.Now())
 	e.mu.Unlock()
-	h.queued.Add(-1)
+	h.leave(e)
 	sh.remove(e)
 	return refusal
 }
@@ -276,7 +276,7 @@
 	case <-e.done:
 	case <-timer.C:
 	case <-ctx.Done():
-	case <-e.shard.left():
+	case <-e.life.Done():
 		if st, err := e.status(); err != nil || st.Stage == ibiswork.Ended {
 			return &st, err
 		}
@@ -376,7 +376,6 @@
 	if e == nil {
 		return ibiswire.NotHolder
 	}
-	h.queued.Add(1)
 	h.drive(e)
 	return e.deliver(ev)
 }
--- a/ibisholder/recover.go
+++ b/ibisholder/recover.go
@@ -56,7 +56,6 @@
 		e.shard.retire(e)
 		return
 	}
-	h.queued.Add(1)
 	h.drive(e)
 }
 
@@ -83,6 +82,8 @@
 		}
 	}
 	now := time.Now()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	entries := make([]*entry, 0, len(latest))
 	for _, s := range latest {
 		entries = append(entries, restored(sh, s, now))
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -101,13 +101,6 @@
 	return sh.since
 }
 
-// left is closed when this life of the shard has ended.
-func (sh *shard) left() <-chan struct{} {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.ctx.Done()
-}
-
 // find returns the entry of a request that has been submitted before.
 func (sh *shard) find(r ibiswork.Request) (*entry, error) {
 	sh.mu.Lock()
--- /dev/null
+++ b/ibisholder/shard_test.go
@@ -0,0 +1,109 @@
+package ibisholder
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisconfig"
+	"ibiscrank/ibisjournal"
+	"ibiscrank/ibispeer"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibisshard"
+	"ibiscrank/ibistablefake"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// journalFake holds every Append until it is let go.
+type journalFake struct {
+	begun chan struct{}
+	let   chan error
+	done  atomic.Int64
+}
+
+func newJournalFake() *journalFake {
+	return &journalFake{begun: make(chan struct{}, 16), let: make(chan error, 16)}
+}
+
+func (j *journalFake) Append(ctx context.Context, _ ...ibisjournal.Record) error {
+	j.begun <- struct{}{}
+	select {
+	case err := <-j.let:
+		j.done.Add(1)
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (j *journalFake) Healthy() bool { return true }
+
+// newTestHolder makes a holder of one shard that serves at epoch 1.
+func newTestHolder(t *testing.T, j Journal) *Holder {
+	t.Helper()
+	table := ibistablefake.New()
+	table.SetDown(true) // the control goroutine then leaves the shard as it is
+	h, stop := New(Config{
+		Self: "self", Shards: 1, Table: table, Journal: j, MaxQueued: 100, DuplicateWindow: time.Hour,
+		View: func() *ibispeer.View { return viewOf() },
+		Snapshot: func() *ibisconfig.Snapshot {
+			limit := ibiswork.Resources{MilliCPU: 1e6, MemoryMB: 1e6, Slots: 1e6}
+			return &ibisconfig.Snapshot{Teams: map[string]ibisconfig.Team{testTeam: {UpperLimit: limit}}}
+		},
+		VMs: func() []ibisserver.VM { return nil },
+	})
+	t.Cleanup(stop)
+	h.setRow(ibisshard.Row{Shard: 0, Epoch: 1, Holder: "self"})
+	h.shards[0].become(serving, 1)
+	return h
+}
+
+func TestHandOffWaitsForAcceptance(t *testing.T) {
+	j := newJournalFake()
+	h := newTestHolder(t, j)
+	sh := h.shards[0]
+	e, added, err := sh.add(testRequest(ibiswork.Batch, true), true)
+	assert.NilError(t, err)
+	assert.Assert(t, added)
+	accepted := make(chan error, 1)
+	go func() { accepted <- h.acceptDurable(context.Background(), sh, e) }()
+	<-j.begun
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, !sh.quiet(ctx, time.Hour), "the shard would be released before the acceptance is in its journal")
+	j.let <- nil
+	assert.NilError(t, <-accepted)
+	e.mu.Lock()
+	e.fire("Commit")
+	e.mu.Unlock()
+	assert.Assert(t, sh.quiet(context.Background(), time.Hour))
+}
+
+func TestNoDriverAfterTheShardHasLeft(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	sh := h.shards[0]
+	e, _, err := sh.add(testRequest(ibiswork.Batch, true), true)
+	assert.NilError(t, err)
+	e.fire("Commit")
+	sh.become(absent, 1)
+	h.drive(e)
+	assert.Assert(t, !e.driven, "an entry of an earlier life is driven")
+	_, err = h.await(context.Background(), e, time.Hour)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
+}
+
+func TestQueuedCountsOnlyWhatIsHeld(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	sh := h.shards[0]
+	r := testRequest(ibiswork.Interactive, true)
+	_, err := h.entryFor(context.Background(), sh, &ibiswire.SubmitRequest{Request: r, Fresh: true})
+	assert.NilError(t, err)
+	assert.Equal(t, h.queued.Load(), int64(1))
+	sh.become(absent, 1)
+	assert.Equal(t, h.queued.Load(), int64(0))
+}
