Promise NotRun for a new request only while no holder can have taken it in

Cause: the router kept an ID for fresh after a holder had answered Recovering because its shard was moving, though that holder had taken the request in and may have started it. The next holder then skipped its search for earlier runs (the task in two places), and the last refusal promised NotRun falsely. Change: a refusal ends freshness unless it promises NotRun; a holder that has not taken a fresh request in promises that, so that nothing is lost for requests that meet a moving shard.

--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -137,11 +137,16 @@
 		a.Idempotent == b.Idempotent && bytes.Equal(a.Payload, b.Payload)
 }
 
-// honest takes back the promise of a refusal that the request was not run, where an earlier submission
-// of it may have been run for a holder whose memory is lost. Work that is not idempotent is known from the
-// journal.
+// honest makes a refusal of a request that was not taken in say the truth. It takes back the promise that
+// the request was not run, where an earlier submission of it may have been run for a holder whose memory
+// is lost. Work that is not idempotent is known from the journal.
 func (sh *shard) honest(err error, req *ibiswire.SubmitRequest) error {
 	refusal, ok := errors.AsType[*ibiswork.Refusal](err)
+	if ok && req.Fresh && refusal.Code == ibiswork.CodeRecovering {
+		fixed := *refusal
+		fixed.NotRun = true // it was not taken in here, and nowhere before
+		return &fixed
+	}
 	if !ok || !refusal.NotRun || req.Fresh || !req.Request.Idempotent {
 		return err
 	}
--- a/ibisholder/shard_test.go
+++ b/ibisholder/shard_test.go
@@ -107,3 +107,13 @@
 	sh.become(absent, 1)
 	assert.Equal(t, h.queued.Load(), int64(0))
 }
+
+func TestRefusalOfFreshRequestThatWasNotTakenInIsFinal(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	h.shards[0].become(reading, 2)
+	for _, fresh := range []bool{true, false} {
+		_, err := h.Submit(context.Background(), &ibiswire.SubmitRequest{Request: testRequest(ibiswork.Interactive, true), Fresh: fresh})
+		assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
+		assert.Equal(t, ibiswork.AsRefusal(err).NotRun, fresh)
+	}
+}
--- a/ibisroute/route.go
+++ b/ibisroute/route.go
@@ -91,19 +91,15 @@
 // Submit hands a request to the holder of its shard and waits for its end.
 func (r *Router) Submit(ctx context.Context, req ibiswork.Request, wait time.Duration) (ibiswork.Status, error) {
 	m := &ibiswire.SubmitRequest{Request: req, Fresh: r.fresh(req.ID)}
-	sent := false
 	st, err := r.retry(ctx, req.ID, wait, func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error) {
 		m.WaitMS = left.Milliseconds()
-		if addr == "" {
-			return r.cfg.Local.Submit(ctx, m)
-		}
-		st, err := ibisrpc.Call[ibiswork.Status](ctx, r.cfg.Pool, addr, ibiswire.MethodSubmit, m)
-		if ibisrpc.Unknown.Has(err) || ibisrpc.Failed.Has(err) {
-			sent, m.Fresh = true, false
+		st, err := r.submitOnce(ctx, addr, m)
+		if err != nil && !ibiswork.AsRefusal(err).NotRun {
+			m.Fresh = false // a holder may have taken it in, and its task may run
 		}
 		return st, err
 	})
-	if refusal, ok := errors.AsType[*ibiswork.Refusal](err); ok && refusal.Code == ibiswork.CodeRecovering && !sent && m.Fresh {
+	if refusal, ok := errors.AsType[*ibiswork.Refusal](err); ok && refusal.Code == ibiswork.CodeRecovering && m.Fresh {
 		// Nothing that carries this ID was ever taken in.
 		fixed := *refusal
 		fixed.NotRun = true
@@ -112,6 +108,13 @@
 	return st, err
 }
 
+func (r *Router) submitOnce(ctx context.Context, addr string, m *ibiswire.SubmitRequest) (*ibiswork.Status, error) {
+	if addr == "" {
+		return r.cfg.Local.Submit(ctx, m)
+	}
+	return ibisrpc.Call[ibiswork.Status](ctx, r.cfg.Pool, addr, ibiswire.MethodSubmit, m)
+}
+
 // Status asks the holder of a request's shard about it.
 func (r *Router) Status(ctx context.Context, team string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
 	return r.ask(ctx, team, id, wait, ibiswire.MethodStatus, r.cfg.Local.Status)
