Keep a server that only this daemon's own claim has fenced; settle unknown starts after all are in

Cause: calls under way carried the epoch before a new claim of the same daemon. The server fenced them, and the daemon gave up a server that it owned; a stop that was repeated kept its first epoch, lost the server and was never carried out. The epoch was read outside the loop. A start of unknown outcome asked for a claim before the other starts of its item were over; the claim then passed the task over, and it stayed counted and its request unanswered for good. Change: the daemon remembers the epochs that it asked for and is fenced by higher ones only; actions read the epoch on the loop at each try; the claim is asked for once all starts of the item are booked. Conclusion: a daemon does not lose a server to itself.

--- a/ibisowner/locate.go
+++ b/ibisowner/locate.go
@@ -136,7 +136,7 @@
 			settled[p.Server] = true
 			continue
 		}
-		reply, err := o.control(s, ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Stop, Tasks: []ibisserver.TaskID{id}})
+		reply, err := o.control(s, ibisserver.Stop, id)
 		if err != nil {
 			continue
 		}
--- a/ibisowner/overuse.go
+++ b/ibisowner/overuse.go
@@ -81,9 +81,8 @@
 // throttle asks the server to hold tasks to their declared size; a call that fails is made again when the
 // server is found to be over again.
 func (o *Owner) throttle(s *server, ids []ibisserver.TaskID) {
-	req := ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Throttle, Tasks: ids}
 	go func() {
-		reply, err := o.control(s, req)
+		reply, err := o.control(s, ibisserver.Throttle, ids...)
 		_ = o.loop.Do(o.ctx, func() {
 			if err == nil {
 				for _, r := range reply.Records {
--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -110,6 +110,7 @@
 		o.setServers([]ibisserver.VM{testVM}, nil)
 	}
 	s := o.servers[testServer]
+	s.asked = epoch
 	o.claimedServer(s, ibisserver.ClaimReply{
 		Clock: 1000, Epoch: epoch, Server: testServer, Capacity: ibiswork.Resources{MilliCPU: 16000, MemoryMB: 64000, Slots: 8}, Records: records,
 	}, epoch, time.Now())
@@ -211,3 +212,54 @@
 		assert.Equal(t, ledger.lost[testTeam], testSize)
 	})
 }
+
+func TestStopGoesOnUnderANewEpoch(t *testing.T) {
+	r := testRecord(testID(1), ibisserver.Running)
+	calls := make(chan ibisserver.ControlRequest)
+	answers := make(chan error)
+	o, _ := newTestOwner(t, &serverFake{control: func(c ibisserver.ControlRequest) (ibisserver.Reply, error) {
+		calls <- c
+		return ibisserver.Reply{Clock: 2000}, <-answers
+	}})
+	var s *server
+	do(t, o, func() {
+		s = claimed(o, 1, r)
+		o.stopTasks([]*task{o.tasks[r.Task.ID]})
+	})
+	assert.Equal(t, (<-calls).Epoch, int64(1))
+	do(t, o, func() { claimed(o, 2, r) }) // this daemon claimed the server again
+	answers <- ibisserver.Fenced.Wrap(&ibisserver.EpochError{Highest: 2})
+	assert.Equal(t, (<-calls).Epoch, int64(2))
+	answers <- nil
+	do(t, o, func() { assert.Assert(t, o.servers[testServer] == s, "the daemon was fenced by its own claim") })
+}
+
+func TestStartOfUnknownOutcomeEndsAtTheNextClaim(t *testing.T) {
+	o, ledger := newTestOwner(t, &serverFake{start: func(ibisserver.StartRequest) (ibisserver.Reply, error) {
+		return ibisserver.Reply{}, ibisserver.Unknown.New("no reply")
+	}})
+	resynced := make(chan struct{})
+	do(t, o, func() {
+		s := claimed(o, 1)
+		s.kick = func() {
+			// The claim may be answered before the other starts of the item are over.
+			claimed(o, 2)
+			close(resynced)
+		}
+	})
+	req := &ibiswire.PlaceRequest{
+		From:    ibiswire.Holder{Shard: testID(1).Shard(testShards), Epoch: 1},
+		Request: ibiswork.Request{ID: testID(1), Team: testTeam, Class: ibiswork.Interactive, Idempotent: true, Resources: testSize}, Attempt: 1, WaitMS: 5000,
+	}
+	reply, err := o.Place(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.State, ibiswire.Started)
+	<-resynced
+	do(t, o, func() {
+		assert.Equal(t, len(o.tasks), 0)
+		assert.Assert(t, ledger.used[testTeam].IsZero())
+		id := ibisserver.TaskID{Request: testID(1), Attempt: 1}
+		assert.Equal(t, o.outbox[id].event.State, ibiswire.TaskLost)
+		assert.Assert(t, !o.outbox[id].event.Ran)
+	})
+}
--- a/ibisowner/preempt.go
+++ b/ibisowner/preempt.go
@@ -108,9 +108,8 @@
 		}
 	}
 	for s, ids := range byServer {
-		req := ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Checkpoint, Tasks: ids}
 		go func() {
-			if _, err := o.control(s, req); err != nil {
+			if _, err := o.control(s, ibisserver.Checkpoint, ids...); err != nil {
 				log.WithFields(log.Fields{"server": s.vm.Name, "error": err}).Warn("CheckpointFailed")
 			}
 			o.stopUntilDone(s, ids)
--- a/ibisowner/report.go
+++ b/ibisowner/report.go
@@ -139,21 +139,25 @@
 	}
 	ids := s.forgets
 	s.forgets = nil
-	req := ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Forget, Tasks: ids}
 	go func() {
-		if _, err := o.control(s, req); err != nil {
+		if _, err := o.control(s, ibisserver.Forget, ids...); err != nil {
 			log.WithFields(log.Fields{"server": s.vm.Name, "error": err}).Debug("RecordsNotForgotten")
 		}
 	}()
 }
 
-// control sends one action and reports whether the server has applied it.
-func (o *Owner) control(s *server, req ibisserver.ControlRequest) (ibisserver.Reply, error) {
+// control sends one action under the present epoch and reports whether the server has applied it. It is
+// not called on the loop.
+func (o *Owner) control(s *server, a ibisserver.Action, ids ...ibisserver.TaskID) (ibisserver.Reply, error) {
+	req := ibisserver.ControlRequest{Action: a, Tasks: ids}
+	if err := o.loop.Do(o.ctx, func() { req.Epoch = s.epoch }); err != nil {
+		return ibisserver.Reply{}, Error.Wrap(err)
+	}
 	ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
 	defer cancel()
 	reply, err := s.api.Control(ctx, req)
 	if ibisserver.Fenced.Has(err) {
-		o.fenced(s)
+		o.fenced(s, err)
 	}
 	return reply, err
 }
@@ -173,9 +177,8 @@
 }
 
 func (o *Owner) stopUntilDone(s *server, ids []ibisserver.TaskID) {
-	req := ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Stop, Tasks: ids}
 	for o.ctx.Err() == nil {
-		reply, err := o.control(s, req)
+		reply, err := o.control(s, ibisserver.Stop, ids...)
 		if err == nil {
 			_ = o.loop.Do(o.ctx, func() {
 				if o.servers[s.vm.Name] == s {
@@ -184,9 +187,6 @@
 			})
 			return
 		}
-		if ibisserver.Fenced.Has(err) {
-			return
-		}
 		mine := false
 		if o.loop.Do(o.ctx, func() { mine = o.servers[s.vm.Name] == s }) != nil || !mine {
 			return
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -33,6 +33,7 @@
 	claimed bool
 	lapsed  bool // every lease has certainly ended
 	epoch   int64
+	asked   int64 // the highest epoch that this daemon has asked for
 	clock   ibislease.Clock
 	horizon ibislease.Horizon // of all leases on it
 	reading int64             // highest clock reading, in the server's clock
@@ -129,16 +130,24 @@
 	o.guard.Remove(s.vm.Name)
 }
 
-// fenced gives up a server that obeys a higher epoch.
-func (o *Owner) fenced(s *server) {
+// fenced gives up a server that obeys a higher epoch than any that this daemon asked for.
+func (o *Owner) fenced(s *server, err error) {
+	highest, known := ibisserver.HighestEpoch(err)
 	_ = o.loop.Do(o.ctx, func() {
-		if o.servers[s.vm.Name] == s {
-			log.WithFields(log.Fields{"server": s.vm.Name, "epoch": s.epoch}).Info("ServerFenced")
-			o.loseServer(s, false)
+		if !known || highest > s.asked {
+			o.outbid(s)
 		}
 	})
 }
 
+// outbid gives up a server that another daemon has claimed.
+func (o *Owner) outbid(s *server) {
+	if o.servers[s.vm.Name] == s {
+		log.WithFields(log.Fields{"server": s.vm.Name, "epoch": s.epoch}).Info("ServerFenced")
+		o.loseServer(s, false)
+	}
+}
+
 // follow claims a server and polls it until it is given up.
 func (o *Owner) follow(ctx context.Context, s *server) {
 	for ctx.Err() == nil {
@@ -157,6 +166,9 @@
 	}
 	epoch := s.epoch + 1
 	for range 3 {
+		if o.loop.Do(ctx, func() { s.asked = max(s.asked, epoch) }) != nil {
+			return false
+		}
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		reply, err := s.api.Claim(callCtx, ibisserver.ClaimRequest{Epoch: epoch, Owner: o.cfg.Self})
@@ -165,7 +177,7 @@
 		case err == nil:
 			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch, sent) }) == nil
 		case ibisserver.Fenced.Has(err) && o.isForeign(ctx, s):
-			o.fenced(s)
+			_ = o.loop.Do(ctx, func() { o.outbid(s) })
 			return false
 		case ibisserver.Fenced.Has(err):
 			epoch = max(epoch, reply.Epoch) + 1
@@ -260,7 +272,7 @@
 				return
 			}
 		case ibisserver.Fenced.Has(err):
-			o.fenced(s)
+			o.fenced(s, err)
 			sleep(ctx, reclaimDelay)
 			return
 		default:
@@ -351,8 +363,7 @@
 		case err == nil:
 			_ = o.loop.Do(ctx, func() { o.renewed(s, req, reply, sent) })
 		case ibisserver.Fenced.Has(err):
-			o.fenced(s)
-			return
+			o.fenced(s, err)
 		default:
 			_ = o.loop.Do(ctx, func() { o.renewalFailed(req) })
 		}
--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -87,6 +87,11 @@
 // afterStart books the results of the starts of an item.
 func (o *Owner) afterStart(it *item, results []startResult, errs []error) ibiswire.StartReply {
 	it.state = running
+	for i, t := range it.tasks {
+		if results[i] == mayStart && o.tasks[t.id] == t {
+			o.resync(o.servers[t.server]) // only a claim after this books a task without a record as lost
+		}
+	}
 	failed := 0
 	for _, r := range results {
 		if r == notStart || r == badServer {
@@ -148,13 +153,12 @@
 		case ibisserver.Rejected.Has(err):
 			return notStart, err
 		case ibisserver.Fenced.Has(err):
-			o.fenced(srv)
+			o.fenced(srv, err)
 			return badServer, err
 		default:
 			return badServer, err
 		}
 	}
-	_ = o.loop.Do(o.ctx, func() { srv := o.servers[t.server]; o.resync(srv) })
 	log.WithFields(log.Fields{"request": t.id.Request, "server": t.server, "error": last}).Warn("StartOutcomeUnknown")
 	return mayStart, last
 }
