--- a/ibisdaemon/daemon.go
+++ b/ibisdaemon/daemon.go
@@ -105,8 +105,9 @@
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { clean(); return nil }})
 }
 
-func newTable(s ibissettings.Settings, r metrics.Registry) ibistable.Table {
-	return ibistable.NewClient(s.Table, nil, ibishttp.WithMeter(ibishttp.NewMeter("Table", r)))
+func newTable(s ibissettings.Settings, r metrics.Registry) (ibistable.Table, ibistable.Objects) {
+	c := ibistable.NewClient(s.Table, nil, ibishttp.WithMeter(ibishttp.NewMeter("Table", r)))
+	return c, c.Objects()
 }
 
 func newVMList(lc fx.Lifecycle, s ibissettings.Settings) ibisserver.VMList {
@@ -170,6 +171,7 @@
 	settings ibissettings.Settings
 	life     *lifecycle
 	table    ibistable.Table
+	objects  ibistable.Objects
 	vmlist   ibisserver.VMList
 	pool     *ibisrpc.Pool
 	inc      *ibisincarnation.Incarnation
@@ -193,6 +195,7 @@
 	Settings ibissettings.Settings
 	Life     *lifecycle
 	Table    ibistable.Table
+	Objects  ibistable.Objects
 	VMList   ibisserver.VMList
 	Pool     *ibisrpc.Pool
 	Inc      *ibisincarnation.Incarnation
@@ -207,7 +210,7 @@
 
 func newNode(lc fx.Lifecycle, p parts) *node {
 	n := &node{
-		settings: p.Settings, life: p.Life, table: p.Table, vmlist: p.VMList, pool: p.Pool, inc: p.Inc, config: p.Config,
+		settings: p.Settings, life: p.Life, table: p.Table, objects: p.Objects, vmlist: p.VMList, pool: p.Pool, inc: p.Inc, config: p.Config,
 		journal: p.Journal, ledger: p.Ledger, burn: p.Burn, registry: p.Registry,
 		news: new(newsTimes), vms: new(vmTracker), kick: make(chan struct{}, 1),
 	}
@@ -232,7 +235,7 @@
 
 func (n *node) startHolder(lc fx.Lifecycle) {
 	h, stop := ibisholder.New(ibisholder.Config{
-		Self: n.inc.ID(), Shards: n.settings.Shards, Table: n.table, Fence: n.inc.Fence(), Journal: n.journal, Pool: n.pool,
+		Self: n.inc.ID(), Shards: n.settings.Shards, Table: n.table, Fence: n.inc.Fence(), Journal: n.journal, Objects: n.objects, Pool: n.pool,
 		View: n.view, Snapshot: n.config.Snapshot, VMs: n.vms.list,
 		DuplicateWindow: time.Duration(n.settings.DuplicateWindowMS) * time.Millisecond, MaxQueued: n.settings.MaxQueued,
 		Metrics: n.registry, Ended: n.ended, ShardTaken: n.shardTaken,
--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -122,7 +122,11 @@
 		if err == nil || ibisjournal.Fenced.Has(err) {
 			e.mu.Lock()
 			e.kept = err == nil
+			drop := e.saved.PayloadKept
 			e.mu.Unlock()
+			if drop {
+				h.dropObject(payloadKey(e.id))
+			}
 			return
 		}
 		pause(ctx, e, jitter(delay))
@@ -168,6 +172,10 @@
 	if h.takeEvents(ctx, e) || h.givenUp(e) {
 		return
 	}
+	if !h.loadPayload(ctx, e) {
+		pause(ctx, e, jitter(retryMax))
+		return
+	}
 	e.mu.Lock()
 	if !e.known {
 		// Its task is gone, and the request was never seen here: only its caller can bring it again.
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -26,20 +26,22 @@
 // saved is what the journal keeps of an entry. A saved entry with a higher Epoch, then a higher Rev,
 // replaces one with a lower.
 type saved struct {
-	Epoch      int64             `json:"Epoch"`
-	Rev        int64             `json:"Rev"`
-	Request    ibiswork.Request  `json:"Request"`
-	AcceptedMS int64             `json:"AcceptedMS"` // Unix milliseconds
-	Attempt    int               `json:"Attempt"`
-	Failures   int               `json:"Failures,omitempty"`
-	Ran        bool              `json:"Ran,omitempty"`    // an earlier attempt may have run
-	Places     []ibiswire.Place  `json:"Places,omitempty"` // of Attempt, once it may have been started
-	Cancelled  bool              `json:"Cancelled,omitempty"`
-	Checkpoint []byte            `json:"Checkpoint,omitempty"`
-	WaitMS     int64             `json:"WaitMS,omitempty"`
-	Answer     *ibiswork.Answer  `json:"Answer,omitempty"`
-	Refusal    *ibiswork.Refusal `json:"Refusal,omitempty"`
-	EndedMS    int64             `json:"EndedMS,omitempty"` // Unix milliseconds
+	Epoch       int64             `json:"Epoch"`
+	Rev         int64             `json:"Rev"`
+	Request     ibiswork.Request  `json:"Request"`
+	AcceptedMS  int64             `json:"AcceptedMS"` // Unix milliseconds
+	Attempt     int               `json:"Attempt"`
+	Failures    int               `json:"Failures,omitempty"`
+	Ran         bool              `json:"Ran,omitempty"`    // an earlier attempt may have run
+	Places      []ibiswire.Place  `json:"Places,omitempty"` // of Attempt, once it may have been started
+	Cancelled   bool              `json:"Cancelled,omitempty"`
+	Checkpoint  []byte            `json:"Checkpoint,omitempty"`
+	WaitMS      int64             `json:"WaitMS,omitempty"`
+	Answer      *ibiswork.Answer  `json:"Answer,omitempty"`
+	Refusal     *ibiswork.Refusal `json:"Refusal,omitempty"`
+	EndedMS     int64             `json:"EndedMS,omitempty"`     // Unix milliseconds
+	PayloadKept bool              `json:"PayloadKept,omitempty"` // in the object store
+	ResultKept  bool              `json:"ResultKept,omitempty"`  // in the object store
 }
 
 func (s saved) newer(o saved) bool {
--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,7 @@
 	Table           ibistable.Table
 	Fence           ibistable.Write
 	Journal         Journal
+	Objects         ibistable.Objects
 	Pool            *ibisrpc.Pool
 	View            func() *ibispeer.View
 	Snapshot        func() *ibisconfig.Snapshot
@@ -152,11 +154,21 @@
 	e, err := h.entryFor(ctx, sh, req)
 	if err != nil {
 		h.refused.Inc(1)
+		h.countRefusal(r, err)
 		return nil, sh.honest(err, req)
 	}
 	return h.await(ctx, e, time.Duration(req.WaitMS)*time.Millisecond)
 }
 
+// missed lists the refusals that count against a team's service-level objectives.
+var missed = map[ibiswork.Code]bool{ibiswork.CodeOverloaded: true, ibiswork.CodeStoreUnavailable: true}
+
+func (h *Holder) countRefusal(r ibiswork.Request, err error) {
+	if refusal, ok := errors.AsType[*ibiswork.Refusal](err); ok && missed[refusal.Code] && h.cfg.Ended != nil {
+		h.cfg.Ended(r, 0, false)
+	}
+}
+
 // entryFor finds the entry of a request, or accepts the request.
 func (h *Holder) entryFor(ctx context.Context, sh *shard, req *ibiswire.SubmitRequest) (*entry, error) {
 	r := req.Request
@@ -282,6 +294,9 @@
 		}
 		return nil, recovering("the shard is moving to another daemon")
 	}
+	if err := h.loadResult(ctx, e); err != nil {
+		return nil, err
+	}
 	st, err := e.status()
 	if err != nil {
 		return nil, err
@@ -386,6 +401,9 @@
 	if !e.isDurable() {
 		return nil
 	}
+	if err := h.keepLarge(ctx, e); err != nil {
+		return err
+	}
 	rec, err := h.record(e)
 	if err != nil {
 		return err
--- a/ibisholder/recover.go
+++ b/ibisholder/recover.go
@@ -148,7 +148,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.saved.Rev++
-	body, err := e.saved.encode()
+	body, err := e.saved.withoutLarge().encode()
 	return ibisjournal.Record{Request: e.id, Shard: e.shard.id, Epoch: e.saved.Epoch, Body: body}, err
 }
 
@@ -162,6 +162,9 @@
 		var records []ibisjournal.Record
 		for _, e := range sh.forget(now.Add(-h.cfg.DuplicateWindow)) {
 			records = append(records, ibisjournal.Record{Request: e.id, Shard: sh.id, Epoch: epoch})
+			if e.saved.ResultKept {
+				h.dropObject(resultKey(e.id))
+			}
 		}
 		if len(records) == 0 {
 			continue
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -133,6 +133,9 @@
 		e.poke()
 		return e, nil
 	}
+	if e.saved.PayloadKept && e.saved.Request.Payload == nil && e.state() != stateEnded {
+		e.saved.Request.Payload = r.Payload // restored; the object store has the same
+	}
 	if e.state() != stateEnded && !sameWork(e.saved.Request, r) {
 		return nil, ibiswork.Refuse(ibiswork.CodeConflict, "the ID was submitted before with other work")
 	}
