Notice silent connections sooner: ping idle ones, and take the clock reading of a late start's refusal

Cause: after all connections had gone silent, a request met several of them one after the other. A connection between daemons was pinged only while a call was outstanding, so each cost a second on its first use. A start that was repeated after a silent one carried a stale clock reading and was refused as StartByPassed, which counted as outcome unknown and led to a new claim. Change: every connection in use within the idle timeout is pinged. StartByPassed says that there is no record and that no earlier copy can start any more (none carries a later start-by time), so the reading of the refusal is taken and the start is tried again, or is certainly not started.

--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -142,6 +142,11 @@
 		switch {
 		case ibisserver.Unknown.Has(err):
 			unknown = true
+		case ibisserver.ReasonOf(err) == ibisserver.StartByPassed:
+			// There is no record of it and no earlier copy can be started any more, since none carries a
+			// later start-by time. The refusal carries the reading for another try.
+			unknown = false
+			_ = o.loop.Do(o.ctx, func() { o.read(srv, reply.Clock, time.Now()) })
 		case unknown:
 			// An earlier copy may have been started; only the records can tell.
 		case ibisserver.Rejected.Has(err):
@@ -153,6 +158,9 @@
 			return badServer, err
 		}
 	}
+	if !unknown {
+		return notStart, last
+	}
 	_ = o.loop.Do(o.ctx, func() { srv := o.servers[t.server]; o.resync(srv) })
 	log.WithFields(log.Fields{"request": t.id.Request, "server": t.server, "error": last}).Warn("StartOutcomeUnknown")
 	return mayStart, last
--- a/ibisrpc/pool.go
+++ b/ibisrpc/pool.go
@@ -87,7 +87,8 @@
 	return c, nil
 }
 
-// supervise pings c while calls are outstanding on it, and drops it when it is silent or long unused.
+// supervise pings c, also while no call is outstanding on it, so that the next call does not have to find
+// out that it is silent; it drops c when it is silent or long unused.
 func (p *Pool) supervise(ctx context.Context, address string, c *conn) {
 	tick := time.NewTicker(PingInterval)
 	defer tick.Stop()
@@ -97,12 +98,9 @@
 			return
 		case <-tick.C:
 		}
-		if c.calls.Load() == 0 {
-			if time.Since(time.Unix(0, c.lastUsed.Load())) > IdleTimeout {
-				p.drop(address, c)
-				return
-			}
-			continue
+		if c.calls.Load() == 0 && time.Since(time.Unix(0, c.lastUsed.Load())) > IdleTimeout {
+			p.drop(address, c)
+			return
 		}
 		pingCtx, cancel := context.WithTimeout(ctx, PingTimeout)
 		err := c.cc.Invoke(pingCtx, "/"+serviceName+"/Ping", &ping{}, new(envelope[ping]))
