--- a/ibisharness/daemon.go
+++ b/ibisharness/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -169,3 +170,20 @@
 
 // AwaitEnd waits until the process has ended by itself and returns its exit as an error.
 func (d *Daemon) AwaitEnd() error { return d.proc.await() }
+
+// Logged counts how often the daemon's log holds a text, over all its starts.
+func (d *Daemon) Logged(text string) int {
+	d.t.Helper()
+	b, err := os.ReadFile(d.log)
+	assert.NilError(d.t, err)
+	return strings.Count(string(b), text)
+}
+
+// Links lists every link of the daemon but that to the list of VMs.
+func (d *Daemon) Links() []*Link {
+	links := []*Link{d.TableLink, d.PeerLink}
+	for _, l := range d.ServerLinks {
+		links = append(links, l)
+	}
+	return links
+}
--- /dev/null
+++ b/ibisproof/server_test.go
@@ -0,0 +1,124 @@
+package ibisproof
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisharness"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibisstandin"
+	"ibiscrank/ibiswork"
+)
+
+// A backend server shows as leaving under load: it gets no new work after leavingBound, and what runs
+// there comes to its end.
+func TestServerLeaving(t *testing.T) {
+	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 6})
+	stop := p.stream(40*time.Millisecond, p.mixed)
+	p.awaitMore(20)
+	name := p.busiest()
+	since := time.Now()
+	p.Platform.SetVMState(name, ibisserver.Leaving)
+	ibisharness.Await(t, answerWithin, "the bound has passed under load", func() (bool, any) {
+		return time.Since(since) > leavingBound+2*time.Second, time.Since(since)
+	})
+	p.awaitMore(20)
+	stop()
+	p.allDone(nil)
+	p.report("started on a leaving server", startedOnLeaving(p.Platform.History(), name, since))
+	p.judge()
+}
+
+// busiest is the name of the server that runs the most tasks.
+func (p *proof) busiest() string {
+	best := ibisstandin.ServerStats{Running: -1}
+	for _, s := range p.Platform.Stats() {
+		if s.Running > best.Running {
+			best = s
+		}
+	}
+	return best.Server
+}
+
+// A backend server freezes with tasks on it, which are started elsewhere once every lease has ended, and
+// comes back. Of non-idempotent requests on it the outcome may stay unknown; none is run again.
+func TestServerFrozen(t *testing.T) {
+	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 5})
+	stop := p.stream(60*time.Millisecond, p.mixed)
+	p.awaitMore(20)
+	name := p.busiest()
+	p.Platform.ServerFaults(ibisstandin.ServerFaults{Freeze: true}, name)
+	ibisharness.Await(t, answerWithin, "its tasks have been given up", func() (bool, any) {
+		n := 0
+		for _, d := range p.Daemons {
+			n += d.Logged("ServerLapsed")
+		}
+		return n > 0, n
+	})
+	p.awaitMore(10)
+	p.Platform.ServerFaults(ibisstandin.ServerFaults{})
+	before := p.startsOn(name)
+	ibisharness.Await(t, answerWithin, "the server has new work", func() (bool, any) {
+		got := p.startsOn(name)
+		return got > before, got
+	})
+	stop()
+	p.allDone(func(o outcome) bool {
+		refusal, ok := errors.AsType[*ibiswork.Refusal](o.err)
+		return ok && !o.request.Idempotent && refusal.Code == ibiswork.CodeOutcomeUnknown && !refusal.NotRun && p.startedOn(name, o.request.ID)
+	})
+	p.judge()
+}
+
+func (p *proof) startsOn(server string) int64 {
+	for _, s := range p.Platform.Stats() {
+		if s.Server == server {
+			return s.Starts
+		}
+	}
+	return 0
+}
+
+// startedOn reports whether a request was started on a server.
+func (p *proof) startedOn(server string, id ibiswork.ID) bool {
+	for _, e := range p.Platform.History() {
+		if e.Event == ibisstandin.Start && e.Server == server && e.TaskID.Request == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Answers come late, out of order, or are lost on the way after the call took effect; each caller gets
+// the whole of its own.
+func TestLateAnswers(t *testing.T) {
+	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 6, Proxies: true})
+	rnd := rand.New(rand.NewPCG(10, 0))
+	stop := p.stream(25*time.Millisecond, func(i int) ibiswork.Request {
+		if i%3 == 0 {
+			return p.mixed(i)
+		}
+		return p.request(ibiswork.Interactive, i%2 == 0, 1+rnd.IntN(300))
+	})
+	for range 6 {
+		for _, vm := range p.Platform.Servers {
+			p.Platform.ServerFaults(ibisstandin.ServerFaults{DelayMS: rnd.Int64N(400), LoseReplies: rnd.IntN(4)}, vm.Name)
+		}
+		p.Platform.TableFaults(ibisstandin.TableFaults{DelayMS: rnd.Int64N(100), LoseReplies: rnd.IntN(3)})
+		for _, d := range p.Daemons {
+			d.PeerLink.Restore()
+			d.PeerLink.Delay(rnd.IntN(80))
+		}
+		p.awaitMore(30)
+	}
+	p.Platform.ServerFaults(ibisstandin.ServerFaults{})
+	p.Platform.TableFaults(ibisstandin.TableFaults{})
+	stop()
+	p.allDone(nil)
+	p.judge()
+	assert.Assert(t, len(p.Trace.Ends()) > 100)
+}
