Make the phone page read well with trouble on it

Looked at in headless Chromium at 360x740 with a silent and a set-aside backend server, a team at its limit, the table away and a killed daemon. A backend server that no daemon owns was shown as silent, so that the alert 'Backend server without an owner' could never fire; it is shown as without an owner now.

--- a/ibisadmin/actions.go
+++ b/ibisadmin/actions.go
@@ -44,7 +44,7 @@
 	},
 	"withdraw": {
 		Title: "Withdraw key", Question: "Withdraw the key %s?",
-		Effect: "It stops working everywhere within seconds and can not be brought back.",
+		Effect: "It stops working everywhere within seconds and cannot be brought back.",
 		Fields: []string{"team", "key"},
 		do: func(a *Admin, r *http.Request, op operator, req ChangeRequest, f map[string]string) (ChangeReply, error) {
 			return a.withdrawKey(mux.SetURLVars(r, f), op, req)
@@ -73,7 +73,7 @@
 func (a *Admin) confirm(w http.ResponseWriter, r *http.Request, p page) {
 	act, fields, err := actionOf(mux.Vars(r)["action"], r.URL.Query().Get)
 	if err != nil {
-		a.fail(w, p, err)
+		a.fail(w, r, p, err)
 		return
 	}
 	var subject []string
@@ -116,24 +116,24 @@
 func (a *Admin) act(w http.ResponseWriter, r *http.Request, p page) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
 	if !hmac.Equal([]byte(r.PostFormValue("token")), []byte(p.Token)) {
-		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeForbidden, "the form is not from this session"))
+		a.fail(w, r, p, ibiswork.Refuse(ibiswork.CodeForbidden, "the form is not from this session"))
 		return
 	}
 	name := mux.Vars(r)["action"]
 	act, fields, err := actionOf(name, r.PostFormValue)
 	if err != nil {
-		a.fail(w, p, err)
+		a.fail(w, r, p, err)
 		return
 	}
 	basedOn, err := strconv.ParseInt(r.PostFormValue("basedOn"), 10, 64)
 	if err != nil {
-		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeBadRequest, "basedOn: not a number"))
+		a.fail(w, r, p, ibiswork.Refuse(ibiswork.CodeBadRequest, "basedOn: not a number"))
 		return
 	}
 	req := ChangeRequest{ID: r.PostFormValue("id"), BasedOn: basedOn, Reason: r.PostFormValue("reason")}
 	reply, err := act.do(a, r, operator{Name: p.Operator, Key: p.key}, req, fields)
 	if err != nil {
-		a.fail(w, p, err)
+		a.fail(w, r, p, err)
 		return
 	}
 	p.Title, p.Body = "Done", outcome{OK: true, Message: doneMessage(act, reply)}
--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -45,6 +45,7 @@
 	"millis": func(f float64) string {
 		return time.Duration(f * float64(time.Millisecond)).Round(time.Millisecond).String()
 	},
+	"budget":    budgetText,
 	"resources": resourcesText,
 	"time":      func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 	"first":     firstSubjects,
@@ -63,6 +64,14 @@
 	return s
 }
 
+// budgetText is the part of an error budget that is left, below zero when it is overspent.
+func budgetText(left float64) string {
+	if left <= 0 {
+		return fmt.Sprintf("the error budget is used up (%.0f%% of it)", 100*(1-left))
+	}
+	return fmt.Sprintf("%.0f%% of the error budget left", 100*left)
+}
+
 // firstSubjects is a short list of what an alert concerns.
 func firstSubjects(subjects []string) string {
 	const most = 8
@@ -280,7 +289,7 @@
 	v := a.view(r.Context())
 	t, ok := v.Config.Teams[mux.Vars(r)["team"]]
 	if !ok {
-		a.fail(w, p, ibiswork.Refuse(ibiswork.CodeNotFound, "there is no team %s", mux.Vars(r)["team"]))
+		a.fail(w, r, p, ibiswork.Refuse(ibiswork.CodeNotFound, "there is no team %s", mux.Vars(r)["team"]))
 		return
 	}
 	b := teamBody{Team: t}
@@ -303,11 +312,15 @@
 	Filter  string
 	Servers []BackendServer
 	Total   int
+	Owners  map[string]string // how each owner is named to operators, by incarnation
 }
 
 func (a *Admin) serverList(w http.ResponseWriter, r *http.Request, p page) {
 	v := a.view(r.Context())
-	b := serversBody{Filter: r.URL.Query().Get("filter")}
+	b := serversBody{Filter: r.URL.Query().Get("filter"), Owners: make(map[string]string)}
+	for _, d := range v.Overview.Daemons {
+		b.Owners[d.Incarnation] = d.label()
+	}
 	for _, s := range v.Overview.Servers {
 		text := strings.Join([]string{s.Name, s.FailureDomain, s.Rack, string(s.State)}, " ")
 		if strings.Contains(strings.ToLower(text), strings.ToLower(b.Filter)) {
@@ -324,7 +337,7 @@
 func (a *Admin) audit(w http.ResponseWriter, r *http.Request, p page) {
 	entries, err := a.Config.Audit(r.Context(), auditOnPage)
 	if err != nil {
-		a.fail(w, p, err)
+		a.fail(w, r, p, err)
 		return
 	}
 	p.Title, p.Body = "Changes", entries
@@ -338,9 +351,14 @@
 	Advice  string
 }
 
-func (a *Admin) fail(w http.ResponseWriter, p page, err error) {
+// fail shows why an action was not done, or why a page could not be made.
+func (a *Admin) fail(w http.ResponseWriter, r *http.Request, p page, err error) {
 	refusal := refusalOf(err)
-	p.Title, p.Body = "Not done", outcome{Message: refusal.Message, Advice: advice[refusal.Code]}
+	p.Title = "Not done"
+	if r.Method == http.MethodGet {
+		p.Title = "Not shown"
+	}
+	p.Body = outcome{Message: refusal.Message, Advice: advice[refusal.Code]}
 	a.render(w, refusal.status(), "outcome.html", p)
 }
 
--- a/ibisadmin/page_test.go
+++ b/ibisadmin/page_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+func TestPagesSayWhatAnOperatorNeeds(t *testing.T) {
+	b := newBench(t)
+	b.fleet.overview = trouble()
+	b.fleet.overview.Servers = append(b.fleet.overview.Servers, BackendServer{Name: "s-4", State: ServerLive})
+	for path, wants := range map[string][]string{
+		"/ops":                     {"What is wrong (", "Backend server without an owner", "By its owner, which tries it again gently: &lt;script", "the error budget is used up"},
+		"/ops/servers":             {"owner 10.0.0.1:8080 (ub-1)", "no owner"},
+		"/ops/servers?filter=ub-2": {"1 of 1"},
+		"/ops/team/tuul-floor":     {"upper limit 100% used", "No requests in 6 h."},
+		"/ops/team/none":           {"<h1>Not shown", "It may be done already."},
+	} {
+		text := b.visit("GET", path, "").Body.String()
+		for _, want := range wants {
+			assert.Assert(t, strings.Contains(text, want), "%s has no %q in\n%s", path, want, text)
+		}
+	}
+}
+
 func TestPagesWithoutNewsOfTheFleet(t *testing.T) {
 	b := newBench(t)
 	b.fleet.err = http.ErrHandlerTimeout
--- a/ibisburn/burn_test.go
+++ b/ibisburn/burn_test.go
@@ -161,3 +161,12 @@
 		r.Observe(start, team, ibiswork.Interactive, 123*time.Millisecond, true)
 	}
 }
+
+func TestTargetInWords(t *testing.T) {
+	for ms, want := range map[int64]string{
+		0: "answered", 1700: "started within 1.7s", 10_000: "started within 10s", 600_000: "started within 10m",
+		3_600_000: "started within 1h", 5_400_000: "started within 1h30m", 3_605_000: "started within 1h0m5s",
+	} {
+		assert.Equal(t, Line{SeriesKey: SeriesKey{TargetMS: ms}}.Target(), want)
+	}
+}
--- a/ibisburn/report.go
+++ b/ibisburn/report.go
@@ -167,7 +167,14 @@
 	if l.TargetMS == 0 {
 		return "answered"
 	}
-	return "waits " + (time.Duration(l.TargetMS) * time.Millisecond).String()
+	d := (time.Duration(l.TargetMS) * time.Millisecond).String()
+	if strings.HasSuffix(d, "m0s") {
+		d = strings.TrimSuffix(d, "0s")
+	}
+	if strings.HasSuffix(d, "h0m") {
+		d = strings.TrimSuffix(d, "0m")
+	}
+	return "started within " + d
 }
 
 // WriteTable writes the report as text. Objectives without any request are left out and counted.
--- a/ibisdaemon/operators.go
+++ b/ibisdaemon/operators.go
@@ -159,7 +159,8 @@
 	if b, ok := owned[vm.Name]; ok {
 		return b
 	}
-	return ibisadmin.BackendServer{Name: vm.Name, FailureDomain: vm.FailureDomain, Rack: vm.Rack, State: ibisadmin.ServerUnreachable}
+	// Whether a server without an owner answers is not known; its own alert says that it gets no work.
+	return ibisadmin.BackendServer{Name: vm.Name, FailureDomain: vm.FailureDomain, Rack: vm.Rack, State: ibisadmin.ServerLive}
 }
 
 func (f fleet) daemon(m ibispeer.Member, answers bool, now time.Time) ibisadmin.Daemon {
