--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -40,6 +40,7 @@
 	seq     int64
 	count   int // tasks counted on it
 	leaving bool
+	foreign bool   // another daemon is to own it and may have claimed it
 	aside   string // reason given by an operator
 	kick    context.CancelFunc
 	forgets []ibisserver.TaskID
@@ -65,7 +66,9 @@
 				o.loseServer(s, false)
 			}
 			// A claimed server is kept until its new owner fences this one, so that it never has none.
+			s.foreign = true
 		default:
+			s.foreign = false
 			s.leaving = vm.State == ibisserver.Leaving
 		}
 	}
@@ -161,6 +164,9 @@
 		switch {
 		case err == nil:
 			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch, sent) }) == nil
+		case ibisserver.Fenced.Has(err) && o.isForeign(ctx, s):
+			o.fenced(s)
+			return false
 		case ibisserver.Fenced.Has(err):
 			epoch = max(epoch, reply.Epoch) + 1
 		default:
@@ -170,6 +176,12 @@
 	return false
 }
 
+// isForeign reports whether another daemon is to own s; it is not claimed from that one.
+func (o *Owner) isForeign(ctx context.Context, s *server) (foreign bool) {
+	_ = o.loop.Do(ctx, func() { foreign = s.foreign })
+	return foreign
+}
+
 // claimedServer takes in a server's list of tasks: they count before anything is placed.
 func (o *Owner) claimedServer(s *server, reply ibisserver.ClaimReply, epoch int64, sent time.Time) {
 	if o.servers[s.vm.Name] != s {
@@ -294,8 +306,8 @@
 		t := o.tasks[r.Task.ID]
 		ended := r.State != ibisserver.Running
 		if t == nil {
-			if _, reporting := o.outbox[r.Task.ID]; reporting && ended {
-				continue
+			if out := o.outbox[r.Task.ID]; out != nil && (ended || endedOnRecord(out.event.State)) {
+				continue // its end is being reported; a reply that says otherwise was overtaken
 			}
 			t = o.adopt(s.vm.Name, r)
 			if !ended {
@@ -318,6 +330,9 @@
 	}
 }
 
+// endedOnRecord reports whether a server's own record has said that the task ended.
+func endedOnRecord(s ibiswire.EventState) bool { return s.Ended() && s != ibiswire.TaskLost }
+
 // renewals extends the leases of the running tasks of s.
 func (o *Owner) renewals(ctx context.Context, s *server) {
 	for sleep(ctx, o.cfg.Lease/4) {
@@ -384,7 +399,11 @@
 		return
 	}
 	if s.claimed {
-		if now.Sub(s.heardAt) > lapseSilence && s.horizon.Passed(s.clock, now) {
+		switch {
+		case now.Sub(s.heardAt) <= lapseSilence || !s.horizon.Passed(s.clock, now):
+		case s.foreign:
+			o.giveUp(s)
+		default:
 			o.lapse(s)
 		}
 		return
@@ -395,6 +414,24 @@
 	}
 }
 
+// giveUp forgets an unreachable server that another daemon is to own. That daemon may renew the leases of
+// its tasks, so none of them is lost; their holders are told to look for them.
+func (o *Owner) giveUp(s *server) {
+	var events []ibiswire.TaskEvent
+	for _, t := range o.tasks {
+		if t.server == s.vm.Name && t.sent {
+			e := o.event(t, ibiswire.TaskRunning)
+			e.Owner = ""
+			events = append(events, e)
+		}
+	}
+	log.WithField("server", s.vm.Name).Warn("ServerGivenUp")
+	o.loseServer(s, false)
+	for _, e := range events {
+		o.send(e, nil)
+	}
+}
+
 func (o *Owner) lapse(s *server) {
 	s.lapsed = true
 	log.WithField("server", s.vm.Name).Warn("ServerLapsed")
