--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -84,13 +84,19 @@
 	return ibisserver.Reply{}, ibisserver.Unknown.Wrap(ctx.Err())
 }
 
+// testLease is the length of a lease, and leaseMargin more than the drift of a server's clock over it.
+const (
+	testLease   = time.Hour
+	leaseMargin = testLease/500 + time.Second
+)
+
 // newTestOwner makes an owner that claims nothing by itself, since it has no news; the tests hand it the
 // replies of the server.
 func newTestOwner(t *testing.T, srv *serverFake) (*Owner, *ledgerFake) {
 	t.Helper()
 	ledger := newLedgerFake()
 	o, stop := New(Config{
-		Self: "owner-a", Lease: time.Hour, Shards: testShards, Ledger: ledger, Directory: noHolder{},
+		Self: "owner-a", Lease: testLease, Shards: testShards, Ledger: ledger, Directory: noHolder{},
 		Dial:     func(string) (ibisserver.Server, func()) { return srv, func() {} },
 		Snapshot: func() *ibisconfig.Snapshot { return &ibisconfig.Snapshot{} },
 		HasNews:  func(time.Time) bool { return false },
@@ -129,7 +135,7 @@
 	}
 	return ibisserver.Record{
 		Task:  ibisserver.Task{ID: ibisserver.TaskID{Request: id, Attempt: 1}, Team: testTeam, Class: ibiswork.Batch, Resources: testSize, Note: b},
-		State: state, StartedAt: 500,
+		State: state, StartedAt: 500, LeaseEnd: 1000 + testLease.Milliseconds(),
 	}
 }
 
@@ -142,10 +148,14 @@
 
 func TestTaskOfEarlierOwnerIsReportedLost(t *testing.T) {
 	for name, lose := range map[string]func(o *Owner, s *server){
-		"VMGone":       func(o *Owner, _ *server) { o.setServers(nil, map[string]bool{testServer: true}) },
-		"Lapsed":       func(o *Owner, s *server) { o.lapse(s) },
-		"MemoryLost":   func(o *Owner, _ *server) { claimed(o, 2) },
-		"SilentLease":  func(o *Owner, s *server) { o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+time.Hour)) },
+		"VMGone":     func(o *Owner, _ *server) { o.setServers(nil, map[string]bool{testServer: true}) },
+		"Lapsed":     func(o *Owner, s *server) { o.lapse(s) },
+		"MemoryLost": func(o *Owner, _ *server) { claimed(o, 2) },
+		"SilentLease": func(o *Owner, s *server) {
+			o.checkLapse(s, s.heardAt.Add(o.cfg.Lease))
+			assert.Assert(t, !s.lapsed) // its clock may be slower than ours
+			o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+leaseMargin))
+		},
 		"LostThenGone": func(o *Owner, s *server) { o.lapse(s); o.setServers(nil, map[string]bool{testServer: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -204,7 +214,7 @@
 		s := claimed(o, 1, r)
 		o.setServers(nil, nil) // another daemon is to own it and may have claimed it
 		delete(o.outbox, r.Task.ID)
-		o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+time.Hour))
+		o.checkLapse(s, s.heardAt.Add(o.cfg.Lease+leaseMargin))
 		assert.Equal(t, reported(o, r), ibiswire.TaskRunning)
 		assert.Equal(t, o.outbox[r.Task.ID].event.Owner, "") // the holder is to look for its owner
 		assert.Assert(t, o.servers[testServer] == nil)
