Wait on the channel that a Place call attached to

Cause: Place read the item's channel outside the loop, while another call for the same gang replaced it. Change: the channel is taken on the loop. Before: TestPartialCallsOfOneGangSideBySide reports a data race. After: passes with -race, three runs. TestOlderGangTakesThePlacesOfAYoungerOne (order of gangs, pinning, balance after repeated drops) found no fault. Conclusion: repeated calls of a holder do not race.

--- a/ibisowner/place.go
+++ b/ibisowner/place.go
@@ -46,6 +46,7 @@
 // Place queues one attempt at a request, and waits for places.
 func (o *Owner) Place(ctx context.Context, req *ibiswire.PlaceRequest) (*ibiswire.PlaceReply, error) {
 	var it *item
+	var placed chan struct{} // as it was for this call; a partial item that wants more places gets a new one
 	var refused error
 	err := o.loop.Do(ctx, func() {
 		if req.Partial {
@@ -53,6 +54,9 @@
 		} else {
 			it, refused = o.attach(req, time.Now())
 		}
+		if refused == nil {
+			placed = it.placed
+		}
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -63,7 +67,7 @@
 	timer := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer timer.Stop()
 	select {
-	case <-it.placed:
+	case <-placed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
