Believe in a lapsed server only when every daemon has answered

Cause: a search took a server for lapsed on one daemon's word, also when the daemon that had claimed it and renewed its leases did not answer, or had a start under way there: the task was started twice. Of Silent and Lapsed the later reply counted, so one search differed from the next. Change: the least certain word of a server counts (a start under way, then claimed, then lapsed); Lapsed needs the answers of all daemons; a daemon says nothing of a server that it has never claimed. Before: TestLapsedIsBelievedOnlyWhenEveryOwnerHasAnswered fails (OtherSilent is taken for complete; Silent after Lapsed for incomplete or not by order of replies). After: passes with -race. Conclusion: a task runs elsewhere only after every daemon that could renew its lease was asked.

--- a/ibisholder/locate.go
+++ b/ibisholder/locate.go
@@ -39,7 +39,8 @@
 	f := found{covers: make(map[string]ibiswire.CoverState)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, m := range h.cfg.View().Members {
+	answers, members := 0, h.cfg.View().Members
+	for _, m := range members {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -50,17 +51,34 @@
 			mu.Lock()
 			defer mu.Unlock()
 			f.events = append(f.events, reply.Events...)
+			answers++
 			for _, c := range reply.Covers {
-				if f.covers[c.Server] != ibiswire.Claimed {
+				if certainty[c.State] < certainty[f.covers[c.Server]] || f.covers[c.Server] == "" {
 					f.covers[c.Server] = c.State
 				}
 			}
 		}()
 	}
 	wg.Wait()
+	if answers < len(members) {
+		f.dropLapsed()
+	}
 	return f
 }
 
+// certainty orders what several owners say of one server: the least certain counts. One that has a start
+// under way there knows more than one that believes to own it, and that one more than one that gave it up.
+var certainty = map[ibiswire.CoverState]int{ibiswire.Silent: 0, ibiswire.Claimed: 1, ibiswire.Lapsed: 2}
+
+// dropLapsed takes lapsed servers for not covered: a daemon that has not answered may renew leases there.
+func (f found) dropLapsed() {
+	for name, state := range f.covers {
+		if state == ibiswire.Lapsed {
+			delete(f.covers, name)
+		}
+	}
+}
+
 // complete reports whether every backend server that may run tasks has been covered.
 func (h *Holder) complete(f found) bool {
 	vms := h.cfg.VMs()
--- /dev/null
+++ b/ibisholder/locate_test.go
@@ -0,0 +1,93 @@
+package ibisholder
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibispeer"
+	"ibiscrank/ibisrpc"
+	"ibiscrank/ibisserver"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// ownerFake answers the calls of a holder; a call whose function is not set fails.
+type ownerFake struct {
+	locate  func(*ibiswire.LocateRequest) (*ibiswire.LocateReply, error)
+	release func(*ibiswire.ReleaseRequest) (*ibiswire.ReleaseReply, error)
+}
+
+// serveOwner serves f on the loopback and returns it as a member of a view.
+func serveOwner(t *testing.T, id string, f ownerFake) ibispeer.Member {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := ibisrpc.NewServer(metrics.NewRegistry(),
+		ibisrpc.Unary(ibiswire.MethodLocate, func(_ context.Context, r *ibiswire.LocateRequest) (*ibiswire.LocateReply, error) {
+			if f.locate == nil {
+				return nil, Error.New("no answer")
+			}
+			return f.locate(r)
+		}),
+		ibisrpc.Unary(ibiswire.MethodRelease, func(_ context.Context, r *ibiswire.ReleaseRequest) (*ibiswire.ReleaseReply, error) {
+			if f.release == nil {
+				return nil, Error.New("no answer")
+			}
+			return f.release(r)
+		}))
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	return ibispeer.Member{Digest: ibispeer.Digest{Row: ibisincarnation.Row{ID: id, Address: l.Addr().String()}}}
+}
+
+// withOwners lets h know these owners, and one backend server that is live.
+func withOwners(t *testing.T, h *Holder, members ...ibispeer.Member) {
+	t.Helper()
+	pool, stop := ibisrpc.NewPool(metrics.NewRegistry())
+	t.Cleanup(stop)
+	h.cfg.Pool = pool
+	h.cfg.View = func() *ibispeer.View { return &ibispeer.View{Members: members} }
+	h.cfg.VMs = func() []ibisserver.VM { return []ibisserver.VM{{Name: "server-1", State: ibisserver.Live}} }
+}
+
+func covers(state ibiswire.CoverState) func(*ibiswire.LocateRequest) (*ibiswire.LocateReply, error) {
+	return func(*ibiswire.LocateRequest) (*ibiswire.LocateReply, error) {
+		return &ibiswire.LocateReply{Covers: []ibiswire.Cover{{Server: "server-1", State: state}}}, nil
+	}
+}
+
+func nothing(*ibiswire.LocateRequest) (*ibiswire.LocateReply, error) {
+	return &ibiswire.LocateReply{}, nil
+}
+
+func TestLapsedIsBelievedOnlyWhenEveryOwnerHasAnswered(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		first, other ownerFake
+		complete     bool
+	}{
+		{"OtherSilent", ownerFake{locate: covers(ibiswire.Lapsed)}, ownerFake{}, false},
+		{"OtherKnowsNothing", ownerFake{locate: covers(ibiswire.Lapsed)}, ownerFake{locate: nothing}, true},
+		{"OtherIsStarting", ownerFake{locate: covers(ibiswire.Lapsed)}, ownerFake{locate: covers(ibiswire.Silent)}, false},
+		{"ClaimedOtherIsStarting", ownerFake{locate: covers(ibiswire.Claimed)}, ownerFake{locate: covers(ibiswire.Silent)}, false},
+		{"OtherClaimed", ownerFake{locate: covers(ibiswire.Lapsed)}, ownerFake{locate: covers(ibiswire.Claimed)}, true},
+		{"ClaimedOtherSilent", ownerFake{locate: covers(ibiswire.Claimed)}, ownerFake{}, true},
+		{"NobodyKnows", ownerFake{locate: covers(ibiswire.Silent)}, ownerFake{locate: covers(ibiswire.Silent)}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newTestHolder(t, newJournalFake())
+			withOwners(t, h, serveOwner(t, "owner-a", tc.first), serveOwner(t, "owner-b", tc.other))
+			f := h.search(t.Context(), &ibiswire.LocateRequest{})
+			assert.Equal(t, h.complete(f), tc.complete)
+
+			e := runningEntry(testRequest(ibiswork.Batch, true), "owner-a")
+			e.fire("Lose")
+			assert.Equal(t, h.resolve(e, f), tc.complete)
+		})
+	}
+}
--- a/ibisowner/locate.go
+++ b/ibisowner/locate.go
@@ -99,6 +99,9 @@
 		wanted[p.Server] = true
 	}
 	for name, s := range o.servers {
+		if !s.claimed && !s.lapsed {
+			continue // nothing is known of it here
+		}
 		state := ibiswire.Silent
 		switch {
 		case s.lapsed:
--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -273,3 +273,20 @@
 		assert.Assert(t, !o.outbox[id].event.Ran)
 	})
 }
+
+func TestLocateSaysNothingOfAServerItNeverClaimed(t *testing.T) {
+	o, _ := newTestOwner(t, &serverFake{})
+	req := &ibiswire.LocateRequest{From: ibiswire.Holder{Shard: 0, Epoch: 1}}
+	do(t, o, func() { o.setServers([]ibisserver.VM{testVM}, nil) })
+	reply, err := o.Locate(context.Background(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Covers), 0)
+	do(t, o, func() { claimed(o, 1) })
+	reply, err = o.Locate(context.Background(), req)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.Covers, []ibiswire.Cover{{Server: testServer, State: ibiswire.Claimed}})
+	do(t, o, func() { o.lapse(o.servers[testServer]) })
+	reply, err = o.Locate(context.Background(), req)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.Covers, []ibiswire.Cover{{Server: testServer, State: ibiswire.Lapsed}})
+}
