Repeat a cancellation until the owner has it; look into tasks on a VM that is gone

Cause: a holder sent the release of a cancelled request, or of the rest of a failed gang, once; when that call was lost the tasks ran on, a service for ever. A holder learned of a lost VM only from the owner of its task; when that one had given the server up to another daemon, nobody told it and the request never ended. Change: a release is repeated until the owners have answered; a task on a VM that the platform lists as gone is searched for. Before: TestCancelIsRepeatedUntilTheOwnerHasIt (no second call, 30 s time-out) and TestRunningOnAVMThatIsGoneIsLookedInto (still Running after 10 s) fail. After: they pass with -race.

--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -420,8 +421,9 @@
 	e.owners = make(map[int]string)
 }
 
-// release gives up the places of e's attempt at its owner, and stops what runs there.
-func (h *Holder) release(ctx context.Context, e *entry) {
+// release gives up the places of e's attempt at its owners, and stops what runs there. It reports whether
+// all of those that are known have said so.
+func (h *Holder) release(ctx context.Context, e *entry) bool {
 	e.mu.Lock()
 	req := &ibiswire.ReleaseRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
 	owners := []string{e.owner}
@@ -431,11 +433,14 @@
 		}
 	}
 	e.mu.Unlock()
+	var failed atomic.Bool
 	h.each(ctx, owners, callMargin, func(ctx context.Context, addr string) {
 		if _, err := ibisrpc.Call[ibiswire.ReleaseReply](ctx, h.cfg.Pool, addr, ibiswire.MethodRelease, req); err != nil {
+			failed.Store(true)
 			log.WithFields(log.Fields{"request": e.id, "error": err}).Debug("ReleaseFailed")
 		}
 	})
+	return !failed.Load()
 }
 
 func (h *Holder) from(e *entry) ibiswire.Holder {
@@ -451,14 +456,13 @@
 		}
 		e.mu.Lock()
 		cancelled := e.cancel
-		lost := e.ownerLost(h.cfg.View())
+		lost := e.ownerLost(h.cfg.View()) || e.serverLost(h.gone)
 		e.mu.Unlock()
 		if lost {
 			return
 		}
 		if cancelled && !stopped {
-			h.release(ctx, e)
-			stopped = true
+			stopped = h.release(ctx, e)
 		}
 		pause(ctx, e, lookInterval)
 	}
@@ -479,6 +483,19 @@
 	return lost && e.fire("Lose")
 }
 
+// serverLost moves e to Locating when the VM of a task that runs is gone; its owner may have been replaced
+// before it could tell.
+func (e *entry) serverLost(gone func(server string) bool) bool {
+	lost := false
+	for _, p := range e.saved.Places {
+		if ev, ok := e.tasks[p.Index]; (!ok || !ev.State.Ended()) && gone(p.Server) {
+			lost = true
+			delete(e.tasks, p.Index)
+		}
+	}
+	return lost && e.fire("Lose")
+}
+
 // pause waits for d, a signal to the entry, or the end of ctx.
 func pause(ctx context.Context, e *entry, d time.Duration) {
 	t := time.NewTimer(d)
--- a/ibisholder/locate_test.go
+++ b/ibisholder/locate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
@@ -91,3 +92,37 @@
 		})
 	}
 }
+func TestCancelIsRepeatedUntilTheOwnerHasIt(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	calls := make(chan struct{})
+	answers := make(chan error)
+	withOwners(t, h, serveOwner(t, "owner-a", ownerFake{release: func(*ibiswire.ReleaseRequest) (*ibiswire.ReleaseReply, error) {
+		calls <- struct{}{}
+		return &ibiswire.ReleaseReply{Stopping: true}, <-answers
+	}}))
+	e := runningEntry(testRequest(ibiswork.Service, true), "owner-a")
+	e.owner, e.cancel = "owner-a", true
+	ctx, cancel := context.WithCancel(t.Context())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		h.watch(ctx, e)
+	}()
+	<-calls
+	answers <- Error.New("the reply is lost")
+	<-calls
+	answers <- nil
+	cancel()
+	<-watched
+}
+
+func TestRunningOnAVMThatIsGoneIsLookedInto(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	withOwners(t, h, serveOwner(t, "owner-a", ownerFake{}))
+	h.cfg.VMs = func() []ibisserver.VM { return []ibisserver.VM{{Name: "server-1", State: ibisserver.Gone}} }
+	e := runningEntry(testRequest(ibiswork.Batch, true), "owner-a")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	h.watch(ctx, e)
+	assert.Equal(t, e.state(), stateLocating)
+}
--- a/ibisholder/outcome.go
+++ b/ibisholder/outcome.go
@@ -14,8 +14,10 @@
 	e.mu.Lock()
 	changed, stop := e.digest(time.Now())
 	e.mu.Unlock()
-	if stop {
-		h.release(ctx, e)
+	if stop && !h.release(ctx, e) {
+		e.mu.Lock()
+		e.stopSent = false
+		e.mu.Unlock()
 	}
 	return changed
 }
