--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -161,10 +161,11 @@
 		hint.Taken = append(hint.Taken, ibiswire.Holder{Shard: row.Shard, Epoch: row.Epoch, Incarnation: h.cfg.Self})
 	}
 	h.tell(hint)
+	log.WithField("shards", len(taken)).Info("ShardsTaken")
 	for _, row := range taken {
 		h.setRow(row)
 		h.shards[row.Shard].become(reading, row.Epoch)
-		log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "sources": len(row.Sources)}).Info("ShardTaken")
+		log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "sources": len(row.Sources)}).Debug("ShardTaken")
 		h.wg.Add(1)
 		go func() {
 			defer h.wg.Done()
@@ -227,7 +228,7 @@
 	} else {
 		h.setRow(row)
 		h.tell(&ibiswire.ShardsMoved{Released: []int{sh.id}})
-		log.WithField("shard", sh.id).Info("ShardReleased")
+		log.WithField("shard", sh.id).Debug("ShardReleased")
 	}
 	// Without the drivers this life of the shard is over either way; a row that still names this daemon is
 	// taken again with a higher epoch.
--- a/ibisholder/recover.go
+++ b/ibisholder/recover.go
@@ -44,7 +44,7 @@
 	for _, e := range sh.all() {
 		h.driveRestored(e)
 	}
-	log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "requests": len(sh.all())}).Info("ShardServing")
+	log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "requests": len(sh.all())}).Debug("ShardServing")
 	h.cover(sh, row, current)
 }
 
@@ -136,7 +136,7 @@
 			sh.mu.Lock()
 			sh.covered = true
 			sh.mu.Unlock()
-			log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "events": len(f.events)}).Info("ShardCovered")
+			log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "events": len(f.events)}).Debug("ShardCovered")
 			return
 		}
 		time.Sleep(jitter(2 * locateInterval))
