Count the silence of others only while this daemon itself looked

Cause: a daemon that was paused while the store was away found, at its first look afterwards, every other daemon silent in the store and in the heartbeats, and revoked them all though they lived. Change: silence counts from the first of the looks that followed each other closely. Before: TestResumedDaemonRevokesNobody fails (two live daemons revoked). After: passes with -race. The tables of revocations, of HasNews and of merging found no other fault; a new daemon among dead ones still revokes them after the same time. Conclusion: a pause and an outage together cost no live daemon its incarnation.

--- a/ibispeer/peers.go
+++ b/ibispeer/peers.go
@@ -87,10 +87,12 @@
 	revoked map[string]bool    // owned by loop
 	ended   map[string]time.Time
 	storeAt time.Time
-	known   bool
-	seq     int64
-	rand    *rand.Rand
-	wg      sync.WaitGroup
+	// The last call of silent, and the first of those that followed each other closely.
+	lookedAt, watching time.Time
+	known              bool
+	seq                int64
+	rand               *rand.Rand
+	wg                 sync.WaitGroup
 }
 
 // Start begins heartbeats; the second result ends them.
@@ -438,7 +440,17 @@
 
 // silent lists the daemons to revoke: those that neither the daemons nor the store hear, and those that
 // the store hears but more than half of the daemons have not heard for longer.
+//
+// A daemon that was paused or without the store knows nothing of that time, so it counts anew.
 func (p *Peers) silent(now time.Time) []string {
+	patience := p.cfg.RevokeAfter + BeatInterval
+	if now.Sub(p.lookedAt) > patience {
+		p.watching = now
+	}
+	p.lookedAt = now
+	if now.Sub(p.watching) <= patience {
+		return nil
+	}
 	heard := 1
 	for id, m := range p.members {
 		if id != p.cfg.Self.ID && now.Sub(m.Heard) < p.cfg.RevokeAfter {
@@ -451,7 +463,7 @@
 			continue
 		}
 		quiet, still := now.Sub(m.Heard), now.Sub(m.BeatAt)
-		dead := quiet > p.cfg.RevokeAfter && still > p.cfg.RevokeAfter+BeatInterval
+		dead := quiet > p.cfg.RevokeAfter && still > patience
 		isolated := quiet > silentFactor*p.cfg.RevokeAfter && 2*heard > len(p.members)
 		if dead || isolated {
 			ids = append(ids, id)
