--- /dev/null
+++ b/ibisholder/chart_test.go
@@ -0,0 +1,147 @@
+package ibisholder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibischart"
+	"ibiscrank/ibiswire"
+	"ibiscrank/ibiswork"
+)
+
+// TestEventsThatTheCodeFires lists, for each state of a request, the events that the code fires there; the
+// chart must allow each of them.
+func TestEventsThatTheCodeFires(t *testing.T) {
+	path := map[string][]string{
+		stateAccepted: {},
+		stateQueued:   {"Commit"},
+		stateReserved: {"Commit", "Reserve"},
+		stateStarting: {"Commit", "Reserve", "Intend"},
+		stateRunning:  {"Commit", "Dispatch"},
+		stateLocating: {"Commit", "Dispatch", "Lose"},
+		stateEnded:    {"Commit", "Refuse"},
+	}
+	fired := map[string][]string{
+		stateAccepted: {"Commit", "Refuse"},
+		stateQueued:   {"Reserve", "Dispatch", "Cancel", "Refuse"}, // place, gather, digest, givenUp
+		stateReserved: {"Intend", "Requeue", "Cancel", "Refuse"},   // intend
+		stateStarting: {"Dispatch", "Requeue", "Lose"},             // start
+		stateRunning:  {"Finish", "Requeue", "Lose"},               // watch, conclude, notPlaced
+		stateLocating: {"Dispatch", "Requeue", "Finish"},           // locate, resolve, tooLate
+		stateEnded:    {"Finish", "Cancel"},                        // late answers
+	}
+	for state, events := range path {
+		for _, event := range fired[state] {
+			m := ibischart.New(ibischart.Task)
+			for _, step := range events {
+				assert.NilError(t, m.Fire(step))
+			}
+			assert.Equal(t, m.State(), state)
+			assert.NilError(t, m.Fire(event), "%s in %s", event, state)
+		}
+	}
+}
+
+func TestRestored(t *testing.T) {
+	place := []ibiswire.Place{{Server: "server-1"}}
+	for _, tc := range []struct {
+		name string
+		s    saved
+		want string
+	}{
+		{"Accepted", saved{Attempt: 1}, stateQueued},
+		{"IntentCommitted", saved{Attempt: 2, Places: place}, stateLocating},
+		{"CancelledAfterIntent", saved{Attempt: 1, Places: place, Cancelled: true}, stateLocating},
+		{"Answered", saved{Attempt: 1, Places: place, Answer: &ibiswork.Answer{Outcome: ibiswork.Done}, EndedMS: 5}, stateEnded},
+		{"Refused", saved{Attempt: 1, Refusal: &ibiswork.Refusal{Code: ibiswork.CodeOutcomeUnknown}, EndedMS: 5}, stateEnded},
+	} {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprint(tc.name, idempotent), func(t *testing.T) {
+				s := tc.s
+				s.Epoch, s.Rev, s.Request = 3, 7, testRequest(ibiswork.Batch, idempotent)
+				e := restored(servingShard(9), s, time.Now())
+				assert.Equal(t, e.state(), tc.want)
+				assert.Equal(t, e.saved.Epoch, int64(9))
+				assert.Equal(t, e.saved.Attempt, tc.s.Attempt, "the attempt of the intent is the one that is looked for")
+				assert.Equal(t, e.cancel, tc.s.Cancelled)
+				<-e.accept
+				if tc.want == stateEnded {
+					<-e.done
+					st, err := e.status()
+					assert.Assert(t, err != nil || st.Answer == tc.s.Answer)
+					assert.Equal(t, e.deliver(event(e, "owner-a", ibiswire.TaskDone, true)), ibiswire.Taken)
+					assert.Equal(t, e.deliver(event(e, "owner-a", ibiswire.TaskRunning, true)), ibiswire.Orphan)
+				}
+			})
+		}
+	}
+}
+
+func TestDuplicateSubmissions(t *testing.T) {
+	sh := servingShard(2)
+	r := testRequest(ibiswork.Batch, false)
+	e, added, err := sh.add(r, true)
+	assert.NilError(t, err)
+	assert.Assert(t, added)
+	other := r
+	other.Payload = []byte("other work")
+	stranger := r
+	stranger.Team = "mandacaru"
+	step := func(name string) {
+		t.Helper()
+		got, err := sh.find(r)
+		assert.NilError(t, err, name)
+		assert.Assert(t, got == e, name)
+		_, err = sh.find(stranger)
+		assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeForbidden, name)
+	}
+	step("while it is being accepted")
+	_, err = sh.find(other)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeConflict)
+	e.fire("Commit")
+	step("queued")
+	e.dispatched(time.Now())
+	step("running")
+	e.finish("Finish", &ibiswork.Answer{ID: r.ID, Outcome: ibiswork.Done}, nil, time.Now())
+	e.finish("Finish", &ibiswork.Answer{ID: r.ID, Outcome: ibiswork.Failed}, nil, time.Now())
+	step("ended")
+	st, err := e.status()
+	assert.NilError(t, err)
+	assert.Equal(t, st.Answer.Outcome, ibiswork.Done, "the first end counts")
+}
+
+func TestUnknownRequestIsAddedOnlyToACoveredShard(t *testing.T) {
+	sh := servingShard(2)
+	r := testRequest(ibiswork.Interactive, true)
+	_, _, err := sh.add(r, false)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
+	assert.Assert(t, !ibiswork.AsRefusal(err).NotRun)
+	sh.covered = true
+	_, added, err := sh.add(r, false)
+	assert.NilError(t, err)
+	assert.Assert(t, added)
+}
+
+// TestAdoptedTask: a task is found before its request; the request that comes later is not run again.
+func TestAdoptedTask(t *testing.T) {
+	h := newTestHolder(t, newJournalFake())
+	sh := h.shards[0]
+	r := testRequest(ibiswork.Interactive, true)
+	probe := newEntry(sh, r, time.Now())
+	ev := event(probe, "owner-a", ibiswire.TaskRunning, true)
+	ev.Meta = ibiswire.Meta{Team: testTeam, Class: ibiswork.Interactive, Idempotent: true, Tasks: 1}
+	assert.Equal(t, h.deliver(ev), ibiswire.Taken)
+	e, _ := sh.get(r.ID)
+	found, err := sh.find(r)
+	assert.NilError(t, err)
+	assert.Assert(t, found == e && e.known)
+	ev.State, ev.Result = ibiswire.TaskDone, []byte("7")
+	assert.Equal(t, h.deliver(ev), ibiswire.Taken)
+	<-e.done
+	st, err := e.status()
+	assert.NilError(t, err)
+	assert.Equal(t, string(st.Answer.Result), "7")
+}
