--- a/ibisroute/route.go
+++ b/ibisroute/route.go
@@ -27,6 +27,7 @@
 	// Patience is how long a request waits for its shard to have a ready holder.
 	Patience     = 6 * time.Second
 	retryDelay   = 100 * time.Millisecond
+	askPatience  = 1 * time.Second // of a question about a request
 	callMargin   = 2 * time.Second
 	mintedFor    = 1 * time.Minute
 	mintTries    = 64
@@ -92,7 +93,7 @@
 func (r *Router) Submit(ctx context.Context, req ibiswork.Request, wait time.Duration) (ibiswork.Status, error) {
 	m := &ibiswire.SubmitRequest{Request: req, Fresh: r.fresh(req.ID)}
 	sent := false
-	st, err := r.retry(ctx, req.ID, wait, func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error) {
+	st, err := r.retry(ctx, req.ID, wait, patience(req), func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error) {
 		m.WaitMS = left.Milliseconds()
 		if addr == "" {
 			return r.cfg.Local.Submit(ctx, m)
@@ -112,6 +113,15 @@
 	return st, err
 }
 
+// patience is how long a request is offered to its shard: as long as a shard needs to move, but not
+// beyond the request's deadline.
+func patience(r ibiswork.Request) time.Duration {
+	if r.DeadlineMS > 0 {
+		return min(Patience, time.Duration(r.DeadlineMS)*time.Millisecond)
+	}
+	return Patience
+}
+
 // Status asks the holder of a request's shard about it.
 func (r *Router) Status(ctx context.Context, team string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
 	return r.ask(ctx, team, id, wait, ibiswire.MethodStatus, r.cfg.Local.Status)
@@ -125,7 +135,7 @@
 func (r *Router) ask(ctx context.Context, team string, id ibiswork.ID, wait time.Duration, method string,
 	local func(context.Context, *ibiswire.StatusRequest) (*ibiswork.Status, error),
 ) (ibiswork.Status, error) {
-	return r.retry(ctx, id, wait, func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error) {
+	return r.retry(ctx, id, wait, min(Patience, max(wait, askPatience)), func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error) {
 		m := &ibiswire.StatusRequest{ID: id, Team: team, WaitMS: left.Milliseconds()}
 		if addr == "" {
 			return local(ctx, m)
@@ -135,7 +145,7 @@
 }
 
 // retry calls the holder of id's shard, again while there is none that is ready or it does not answer.
-func (r *Router) retry(ctx context.Context, id ibiswork.ID, wait time.Duration,
+func (r *Router) retry(ctx context.Context, id ibiswork.ID, wait, patience time.Duration,
 	call func(ctx context.Context, addr string, left time.Duration) (*ibiswork.Status, error),
 ) (ibiswork.Status, error) {
 	begin := time.Now()
@@ -148,7 +158,7 @@
 		if refused && refusal.Code != ibiswork.CodeRecovering && refusal.Code != ibiswork.CodeDraining {
 			return ibiswork.Status{}, refusal
 		}
-		if time.Since(begin) > min(Patience, max(wait, time.Second)) || !sleep(ctx, retryDelay) {
+		if time.Since(begin) > patience || !sleep(ctx, retryDelay) {
 			return ibiswork.Status{}, giveUp(err)
 		}
 	}
