Let the frozen server hold tasks longer than a lease; submit again what no daemon knows

Cause: a mutation that gives up a frozen server's tasks before their leases have ended was caught only by chance, as every task was shorter than a lease; and work that is not durable may be forgotten with its holder after a 202, which its caller mends by submitting the same ID again.

--- a/ibisharness/caller.go
+++ b/ibisharness/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -23,7 +24,8 @@
 	statusWait = 2 * time.Second
 	// defaultRetry is the time before another attempt when the answer names none.
 	defaultRetry = 50 * time.Millisecond
-	// unknownAnswers is how many answers in a row that the outcome is unknown make it the end of a request.
+	// unknownAnswers is how many answers in a row that the outcome is unknown, or that the request is not
+	// known, are believed.
 	unknownAnswers = 3
 )
 
@@ -199,7 +201,8 @@
 }
 
 // Do submits a request to the daemons in turn, beginning with first, always with the same ID, until it
-// has ended, it was refused for good, or ctx ends. It returns the end, or the last refusal or error.
+// has ended, it was refused for good, or ctx ends. Work that is not durable is submitted again when no
+// daemon knows of it any more. It returns the end, or the last refusal or error.
 func (k *Caller) Do(ctx context.Context, r ibiswork.Request, first int) (*ibiswork.Status, error) {
 	var last error
 	for daemon := first % len(k.c.Daemons); ; daemon = (daemon + 1) % len(k.c.Daemons) {
@@ -208,7 +211,11 @@
 		case s.Ended():
 			return s.Status, nil
 		case s.Accepted():
-			return k.Follow(ctx, r.ID, daemon)
+			st, err := k.Follow(ctx, r.ID, daemon)
+			if refusal, ok := errors.AsType[*ibiswork.Refusal](err); !ok || refusal.Code != ibiswork.CodeNotFound || r.Durable() {
+				return st, err
+			}
+			last = err
 		case s.Refusal != nil && final(s.Refusal.Code):
 			return nil, s.Refusal
 		case s.Refusal != nil:
@@ -223,9 +230,9 @@
 }
 
 // Follow asks after an accepted request through the daemons in turn until it has ended, its outcome is
-// unknown, or ctx ends.
+// unknown, no daemon knows of it, or ctx ends.
 func (k *Caller) Follow(ctx context.Context, id ibiswork.ID, first int) (*ibiswork.Status, error) {
-	unknown := 0
+	unknown, notFound := 0, 0
 	for daemon := first; ; daemon = (daemon + 1) % len(k.c.Daemons) {
 		st, refusal, err := k.Ask(ctx, id, daemon, statusWait)
 		if st != nil && st.Stage == ibiswork.Ended {
@@ -237,6 +244,12 @@
 		if unknown++; refusal == nil || refusal.Code != ibiswork.CodeOutcomeUnknown {
 			unknown = 0
 		}
+		if notFound++; refusal == nil || refusal.Code != ibiswork.CodeNotFound {
+			notFound = 0
+		}
+		if notFound == unknownAnswers {
+			return nil, refusal
+		}
 		if unknown == unknownAnswers {
 			k.c.Trace.endUnknown(id, *refusal)
 			return nil, refusal
--- a/ibisproof/server_test.go
+++ b/ibisproof/server_test.go
@@ -48,9 +48,15 @@
 // A backend server freezes with tasks on it, which are started elsewhere once every lease has ended, and
 // comes back. Of non-idempotent requests on it the outcome may stay unknown; none is run again.
 func TestServerFrozen(t *testing.T) {
-	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 5})
-	stop := p.stream(60*time.Millisecond, p.mixed)
+	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 8})
+	stop := p.stream(60*time.Millisecond, func(i int) ibiswork.Request {
+		if i%6 == 3 {
+			return p.request(ibiswork.Batch, true, 5000) // longer than a lease
+		}
+		return p.mixed(i)
+	})
 	p.awaitMore(20)
+	p.awaitRunning(12)
 	name := p.busiest()
 	p.Platform.ServerFaults(ibisstandin.ServerFaults{Freeze: true}, name)
 	ibisharness.Await(t, answerWithin, "its tasks have been given up", func() (bool, any) {
