Take back a shard whose release failed, whoever it is assigned to

Cause: a hand-over that met the outage of the table gave up its drivers and became absent, while the row still named this daemon. take() took such a row back only when the shard was assigned to this daemon, and it was just being handed to another, which saw a live holder. So nobody held the shard until the daemon ended, and its requests got 'the shard has no ready holder here' for good. Ruled out: a slow recovery of the sources (no ShardTaken was logged at all) and slow hints between daemons (the state lasted beyond 60 s). Change: a row that names this daemon is always taken back when the shard is not held here.

--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -148,7 +148,10 @@
 	rows := *h.rows.Load()
 	var free []ibisshard.Row
 	for s, row := range rows {
-		if _, held := h.shards[s].held(); !held && assigned[s] == h.cfg.Self && (c.over(row.Holder) || row.Holder == h.cfg.Self) {
+		// A row that names this daemon although the shard is not held here is left over from a release that
+		// failed. No other daemon takes such a shard, whoever it is assigned to.
+		mine := row.Holder == h.cfg.Self || assigned[s] == h.cfg.Self && c.over(row.Holder)
+		if _, held := h.shards[s].held(); !held && mine {
 			free = append(free, row)
 		}
 	}
