Let a retry begin anew after a refusal for want of the store

Cause: a non-idempotent interactive request whose intent could not be written was refused with a time to come back, but its entry stayed as ended, so that each retry with the same ID was given the old refusal for the whole duplicate window, long after the table was back. Change: such an entry lets another submission begin anew, with a higher attempt because a late release of the old one may still be under way. It is not handed on to the next holder of the shard.

--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -246,7 +246,7 @@
 	for _, e := range sh.all() {
 		e.mu.Lock()
 		class := e.saved.Request.Class
-		keep := e.known && !class.Durable() && e.state() != stateAccepted && (e.state() != stateEnded || e.endedAt.After(since))
+		keep := e.known && !e.again.Load() && !class.Durable() && e.state() != stateAccepted && (e.state() != stateEnded || e.endedAt.After(since))
 		e.mu.Unlock()
 		if !keep || len(records) >= maxAnswers {
 			continue
--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -281,9 +281,10 @@
 	}
 	interactive := !e.saved.Request.Class.Durable()
 	if ibisjournal.Unavailable.Has(err) && interactive {
-		// Nothing was written and nothing was started: the refusal is final and true.
+		// Nothing was written and nothing was started: the refusal is true, and a retry begins anew.
 		e.durable = false
 		e.finish("Refuse", nil, storeRefusal(err), time.Now())
+		e.again.Store(true)
 		e.mu.Unlock()
 		h.release(ctx, e)
 		return
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -77,7 +78,8 @@
 	waiting    bool
 	journalled bool // an earlier holder handed it on through its journal
 	driven     bool
-	stopSent   bool // the rest of a failed gang is being stopped
+	stopSent   bool        // the rest of a failed gang is being stopped
+	again      atomic.Bool // refused before anything was recorded or started; another submission begins anew
 }
 
 func newEntry(sh *shard, r ibiswork.Request, now time.Time) *entry {
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -122,6 +122,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.again.Load() {
+		return nil, nil
+	}
 	if e.saved.Request.Team != r.Team {
 		return nil, ibiswork.Refuse(ibiswork.CodeForbidden, "the ID belongs to another team")
 	}
@@ -171,13 +174,17 @@
 	if sh.state != serving {
 		return nil, false, recovering("the shard has no ready holder here")
 	}
-	if e := sh.entries[r.ID]; e != nil {
-		return e, false, nil
+	old := sh.entries[r.ID]
+	if old != nil && !old.again.Load() {
+		return old, false, nil
 	}
-	if !fresh && !sh.covered {
+	if old == nil && !fresh && !sh.covered {
 		return nil, false, recovering("some backend servers have not been asked yet for earlier runs")
 	}
 	e = newEntry(sh, r, time.Now())
+	if old != nil {
+		e.saved.Attempt = old.saved.Attempt + 1 // an owner may still release the attempt before
+	}
 	sh.entries[r.ID] = e
 	return e, true, nil
 }
@@ -248,7 +255,9 @@
 		if !e.endedAt.Before(before) && (len(sh.ended)-n <= maxEnded || e.durable) {
 			break
 		}
-		delete(sh.entries, e.id)
+		if sh.entries[e.id] == e {
+			delete(sh.entries, e.id)
+		}
 		if e.durable || e.journalled {
 			journalled = append(journalled, e)
 		}
