Use the rest of an upper limit that does not divide among busy daemons

Cause: of free capacity each daemon at its even part left as much as the others wanted, so that when two or more wanted it, none took it. One slot of twelve stayed unused for tens of seconds. Ruled out: a queue at an owner without room (the proof had 20 free slots on every side). Change: a daemon may take up to an even part, rounded up, of what the daemons without unmet demand leave. What is above an even part of the limit is still given up as tasks end.

--- a/ibisallot/ledger_test.go
+++ b/ibisallot/ledger_test.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// Each daemon holds an even part. Then one needs less, and what it leaves does not divide evenly.
+func TestRestThatDoesNotDivideIsUsed(t *testing.T) {
+	f := newFleet(3)
+	lim := limits(slots(12))
+	need, used := map[string]int64{"i-0": 4, "i-1": 4, "i-2": 4}, make(map[string]int64)
+	rounds := func() {
+		for range 40 {
+			for _, id := range f.ids {
+				used[id] += f.fill(id, need[id]-used[id])
+			}
+			f.sync(t, lim)
+		}
+	}
+	rounds()
+	f.ledgers["i-0"].Free("team", slots(1))
+	need["i-0"], used["i-0"], need["i-1"], need["i-2"] = 3, 3, 9, 9
+	rounds()
+	assert.Equal(t, used["i-0"], int64(3))
+	assert.Equal(t, used["i-1"]+used["i-2"], int64(9), "%v", used)
+}
+
 func TestBusyDaemonsEndWithEvenParts(t *testing.T) {
 	f := newFleet(4)
 	lim := limits(slots(100))
--- a/ibisallot/plan.go
+++ b/ibisallot/plan.go
@@ -26,6 +26,8 @@
 	used    int64
 	unmet   int64 // own demand beyond used that was refused
 	others  int64 // unmet demand of other daemons
+	wanters int64 // other daemons with unmet demand
+	theirs  int64 // what these hold
 	first   int64 // of these, indivisible demand that goes before that of this daemon
 	lump    int64 // what was unused when the own demand was refused
 	idle    bool  // nothing has changed for a while
@@ -74,7 +76,15 @@
 	if give > 0 || k.held > even {
 		return k.held - give, max(0, min(k.others-give, k.held-even-give))
 	}
-	return max(k.held, min(k.room(), need, max(min(even, k.held+free), k.held+free-k.others))), 0
+	return max(k.held, min(k.room(), need, max(min(k.fair(), k.held+free), k.held+free-k.others))), 0
+}
+
+// fair is an even part, rounded up, of what the daemons without unmet demand leave of the limit. It is at
+// least an even part of the limit. Of a rest that does not divide, some daemon may take one more than an
+// even part, and gives it up as tasks end.
+func (k kind) fair() int64 {
+	pool := k.limit - (k.sum - k.row - k.theirs)
+	return max(k.limit/k.daemons, (pool+k.wanters)/(k.wanters+1))
 }
 
 // amounts lists the kinds of capacity.
@@ -109,6 +119,23 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s", s.row.Team, s.turn, inc))
 }
 
+// wanters counts the other live daemons with unmet demand, and adds up what they hold, for each kind.
+func (s state) wanters() (n, held [4]int64) {
+	for inc, wanted := range s.row.Wanted {
+		if inc == s.self || !slices.Contains(s.live, inc) {
+			continue
+		}
+		w, h := amounts(wanted), amounts(s.row.Held[inc])
+		for i := range w {
+			if w[i] > 0 {
+				n[i]++
+				held[i] += h[i]
+			}
+		}
+	}
+	return n, held
+}
+
 // decision is the row to write, if it differs, and what to give up as tasks end.
 type decision struct {
 	row    Row
@@ -131,11 +158,12 @@
 	limit, sum, row := amounts(s.limit), amounts(s.row.Sum().Sub(s.row.Over[s.self]).Add(s.lost)), amounts(s.row.Held[s.self])
 	held, used, unmet := amounts(s.held), amounts(s.used), amounts(s.unmet)
 	others, ahead, lump := amounts(s.row.wantedByOthers(s.self, s.live)), amounts(first), amounts(s.lump)
+	wanters, theirs := s.wanters()
 	var target, yield, wanted [4]int64
 	for i := range limit {
 		target[i], yield[i] = kind{
 			limit: limit[i], daemons: int64(max(1, len(s.live))), sum: sum[i], row: row[i], held: held[i],
-			used: used[i], unmet: unmet[i], others: others[i], first: ahead[i], lump: lump[i], idle: s.idle,
+			used: used[i], unmet: unmet[i], others: others[i], wanters: wanters[i], theirs: theirs[i], first: ahead[i], lump: lump[i], idle: s.idle,
 		}.decide()
 		wanted[i] = max(0, min(used[i]+unmet[i], limit[i])-target[i])
 	}
