--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 tools:
 	@test -x $(LINT) && $(LINT) version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
 		GOFLAGS= $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+# make soak SEED=1 MINUTES=10 repeats the random-fault run of that seed.
+soak: build
+	$(GO) test -count=1 -timeout 0 -v -run TestSoak ./ibisproof -soak.seed=$(or $(SEED),20261203) -soak.minutes=$(or $(MINUTES),5)
--- a/ibisharness/caller.go
+++ b/ibisharness/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -208,7 +209,12 @@
 		case s.Ended():
 			return s.Status, nil
 		case s.Accepted():
-			return k.Follow(ctx, r.ID, daemon)
+			st, err := k.follow(ctx, r.ID, daemon, !r.Class.Durable())
+			refusal, refused := errors.AsType[*ibiswork.Refusal](err)
+			if !refused || refusal.Code != ibiswork.CodeNotFound {
+				return st, err
+			}
+			last = refusal
 		case s.Refusal != nil && final(s.Refusal.Code):
 			return nil, s.Refusal
 		case s.Refusal != nil:
@@ -225,6 +231,12 @@
 // Follow asks after an accepted request through the daemons in turn until it has ended, its outcome is
 // unknown, or ctx ends.
 func (k *Caller) Follow(ctx context.Context, id ibiswork.ID, first int) (*ibiswork.Status, error) {
+	return k.follow(ctx, id, first, false)
+}
+
+// follow is Follow, which also returns when the request is not known and forgettable is set: an interactive
+// request that has not started is recorded nowhere, and its caller has to submit it again.
+func (k *Caller) follow(ctx context.Context, id ibiswork.ID, first int, forgettable bool) (*ibiswork.Status, error) {
 	unknown := 0
 	for daemon := first; ; daemon = (daemon + 1) % len(k.c.Daemons) {
 		st, refusal, err := k.Ask(ctx, id, daemon, statusWait)
@@ -234,6 +246,9 @@
 		if err == nil && refusal != nil {
 			err = refusal
 		}
+		if forgettable && refusal != nil && refusal.Code == ibiswork.CodeNotFound {
+			return nil, refusal
+		}
 		if unknown++; refusal == nil || refusal.Code != ibiswork.CodeOutcomeUnknown {
 			unknown = 0
 		}
--- /dev/null
+++ b/ibisproof/pause_test.go
@@ -0,0 +1,98 @@
+package ibisproof
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibisharness"
+	"ibiscrank/ibisincarnation"
+	"ibiscrank/ibistable"
+)
+
+// pausedFor is longer than any lease that a daemon with the settings of quick gives, and than the silence
+// after which it is replaced.
+const pausedFor = 7 * time.Second
+
+// A daemon is paused for longer than any lease while work of all classes is in flight. The others take
+// its work over, then it goes on. Its revoked incarnation writes nothing.
+func TestPauseDaemon(t *testing.T) {
+	p := newProof(t, ibisharness.Options{Daemons: 3, Servers: 8})
+	stop := p.stream(40*time.Millisecond, p.mixed)
+	d := p.Daemons[0]
+	p.awaitMore(20)
+	p.awaitRunning(6)
+	id := p.incarnation(d)
+	began := time.Now()
+	d.Pause()
+	ibisharness.Await(t, answerWithin, "the paused incarnation is revoked", func() (bool, any) {
+		over, err := ibisincarnation.IsOver(t.Context(), p.table(), id)
+		return over && err == nil, err
+	})
+	written := p.writtenBy(id)
+	p.awaitMore(20)
+	ibisharness.Await(t, answerWithin, "every lease has ended", func() (bool, any) {
+		return time.Since(began) > pausedFor, time.Since(began)
+	})
+	p.report("written while revoked", changed(written, p.writtenBy(id)))
+	d.Resume()
+	ibisharness.Await(t, answerWithin, "the paused daemon begins again", func() (bool, any) {
+		p.report("written after the pause", changed(written, p.writtenBy(id)))
+		now := p.incarnation(d)
+		return now != id && now != "" && d.Ready(), now
+	})
+	assert.Assert(t, !t.Failed())
+	p.awaitMore(20)
+	stop()
+	p.allDone(nil)
+	p.judge()
+}
+
+// table is the table service itself.
+func (p *proof) table() *ibistable.Client { return ibistable.NewClient(p.Platform.Table, nil) }
+
+// incarnation is the ID of the newest live incarnation of a daemon, or empty.
+func (p *proof) incarnation(d *ibisharness.Daemon) string {
+	p.t.Helper()
+	rows, err := ibisincarnation.List(context.Background(), p.table())
+	assert.NilError(p.t, err)
+	id := ""
+	for _, r := range rows {
+		if r.State == ibisincarnation.Live && r.HTTPAddress == d.Settings.Listen && r.ID > id {
+			id = r.ID
+		}
+	}
+	return id
+}
+
+// scanRows is how many rows are read at once; the tables of these tests are smaller.
+const scanRows = 10000
+
+// writtenBy is the version of every row that only the incarnation itself writes.
+func (p *proof) writtenBy(id string) map[string]int64 {
+	p.t.Helper()
+	rows, err := p.table().Scan(context.Background(), "", "\xff", scanRows)
+	assert.NilError(p.t, err)
+	versions := map[string]int64{}
+	for _, r := range rows {
+		if strings.Contains(r.Key, id) && r.Key != ibisincarnation.Key(id) {
+			versions[r.Key] = r.Version
+		}
+	}
+	return versions
+}
+
+// changed lists the rows that are new or have another version; those that were cleared away are none.
+func changed(before, after map[string]int64) []string {
+	var bad []string
+	for key, version := range after {
+		if before[key] != version {
+			bad = append(bad, fmt.Sprintf("%s has version %d, had %d", key, version, before[key]))
+		}
+	}
+	return bad
+}
--- /dev/null
+++ b/ibisproof/soak_test.go
@@ -0,0 +1,208 @@
+package ibisproof
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ibiscrank/ibisharness"
+	"ibiscrank/ibisload"
+	"ibiscrank/ibisstandin"
+	"ibiscrank/ibiswork"
+)
+
+var (
+	soakSeed    = flag.Uint64("soak.seed", 20261203, "seed of the random faults and of the load")
+	soakMinutes = flag.Float64("soak.minutes", 0, "length of the random-fault run; zero runs a short one")
+)
+
+const (
+	shortSoak = 25 * time.Second
+	// soakKey is the key of the team of every proof.
+	soakKey  = "key-of-team"
+	soakRate = 20 // requests a second
+	// calm is the time after the last fault until everything must have recovered.
+	calm = 5 * time.Second
+)
+
+// fault is one fault of a schedule. It begins at a moment of the run and is undone after a while.
+type fault struct {
+	at    time.Duration
+	lasts time.Duration
+	name  string
+	begin func(p *proof)
+	undo  func(p *proof)
+}
+
+// schedule draws the faults of a run from a seed; the same seed gives the same faults at the same times.
+// At most one daemon is away at once, and every fault has ended before the run has.
+func schedule(seed uint64, length time.Duration, daemons int, servers []string) []fault {
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	var all []fault
+	at := 3 * time.Second
+	for {
+		lasts := time.Duration(1000+rnd.IntN(4000)) * time.Millisecond
+		f := draw(rnd, rnd.IntN(daemons), servers[rnd.IntN(len(servers))])
+		if at+lasts+calm > length {
+			return all
+		}
+		f.at, f.lasts = at, lasts
+		all = append(all, f)
+		at += lasts + time.Duration(rnd.IntN(1500))*time.Millisecond
+	}
+}
+
+// draw draws one fault of the daemon or the backend server.
+func draw(rnd *rand.Rand, daemon int, server string) fault {
+	d := func(p *proof) *ibisharness.Daemon { return p.Daemons[daemon] }
+	table := func(name string, f ibisstandin.TableFaults) fault {
+		return fault{
+			name:  name,
+			begin: func(p *proof) { p.Platform.TableFaults(f) },
+			undo:  func(p *proof) { p.Platform.TableFaults(ibisstandin.TableFaults{}) },
+		}
+	}
+	servers := func(name string, f ibisstandin.ServerFaults) fault {
+		return fault{
+			name:  fmt.Sprintf("%s of %s", name, server),
+			begin: func(p *proof) { p.Platform.ServerFaults(f, server) },
+			undo:  func(p *proof) { p.Platform.ServerFaults(ibisstandin.ServerFaults{}, server) },
+		}
+	}
+	switch rnd.IntN(9) {
+	case 0:
+		return fault{
+			name:  fmt.Sprintf("kill of daemon %d", daemon),
+			begin: func(p *proof) { d(p).Kill() },
+			undo:  func(p *proof) { d(p).Start() },
+		}
+	case 1:
+		return fault{
+			name:  fmt.Sprintf("pause of daemon %d", daemon),
+			begin: func(p *proof) { d(p).Pause() },
+			undo:  func(p *proof) { d(p).Resume() },
+		}
+	case 2:
+		ready := false // a daemon that has only just begun may be ended by the signal itself
+		return fault{
+			name:  fmt.Sprintf("shutdown of daemon %d", daemon),
+			begin: func(p *proof) { ready = d(p).Ready(); d(p).Terminate() },
+			undo: func(p *proof) {
+				if err := d(p).AwaitEnd(); err != nil && ready {
+					p.t.Errorf("shutdown of daemon %d: %v", daemon, err)
+				}
+				d(p).Start()
+			},
+		}
+	case 3:
+		return table("outage of the table", ibisstandin.TableFaults{Down: true})
+	case 4:
+		return table("slow table", ibisstandin.TableFaults{DelayMS: int64(50 + rnd.IntN(400))})
+	case 5:
+		return table("lost replies of the table", ibisstandin.TableFaults{LoseReplies: 1 + rnd.IntN(20)})
+	case 6:
+		return servers("freeze", ibisstandin.ServerFaults{Freeze: true})
+	case 7:
+		return servers("failure of every task", ibisstandin.ServerFaults{FailAll: true})
+	}
+	return fault{
+		name: fmt.Sprintf("silent connections of daemon %d", daemon),
+		begin: func(p *proof) {
+			for _, l := range d(p).Links() {
+				l.Silence()
+			}
+		},
+		undo: func(*proof) {},
+	}
+}
+
+// Random faults under mixed load, drawn from a seed. Every oracle judges at the end.
+func TestSoak(t *testing.T) {
+	length := shortSoak
+	if *soakMinutes > 0 {
+		length = time.Duration(*soakMinutes * float64(time.Minute))
+	}
+	t.Logf("seed %d, %v; repeat with: make soak SEED=%d MINUTES=%g", *soakSeed, length, *soakSeed, length.Minutes())
+	p := newProof(t, ibisharness.Options{
+		Daemons: 3, Servers: 8, Proxies: true, Capacity: ibiswork.Resources{MilliCPU: 16000, MemoryMB: 32768, Slots: 16},
+	})
+	var servers []string
+	for _, vm := range p.Platform.Servers {
+		servers = append(servers, vm.Name)
+	}
+	load := p.startLoad(length)
+	stop := p.stream(100*time.Millisecond, p.mixed)
+	p.runFaults(schedule(*soakSeed, length, len(p.Daemons), servers), time.Now(), length)
+	stop()
+	for _, d := range p.Daemons {
+		d.AwaitReady()
+	}
+	p.allDone(func(o outcome) bool { return !o.request.Idempotent && p.Trace.Unknown()[o.request.ID].Code != "" })
+	p.judge()
+	p.judgeLoad(load())
+}
+
+// runFaults brings the faults about at their times.
+func (p *proof) runFaults(faults []fault, began time.Time, length time.Duration) {
+	p.t.Helper()
+	wait := func(until time.Duration) {
+		ctx, cancel := context.WithDeadline(context.Background(), began.Add(until))
+		defer cancel()
+		<-ctx.Done()
+	}
+	for _, f := range faults {
+		wait(f.at)
+		p.t.Logf("%v: %s for %v", time.Since(began).Round(time.Millisecond), f.name, f.lasts)
+		f.begin(p)
+		wait(f.at + f.lasts)
+		f.undo(p)
+	}
+	wait(length)
+}
+
+// startLoad runs the mix of the mill beside the proof's own requests. The function that it returns waits
+// for its end.
+func (p *proof) startLoad(length time.Duration) func() ibisload.Report {
+	p.t.Helper()
+	mix, err := ibisload.NamedMix("tuul")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	var report ibisload.Report
+	go func() {
+		defer close(done)
+		report, err = ibisload.Run(ctx, ibisload.Options{
+			Daemons: p.Addresses(), Teams: []ibisload.Team{{Name: p.team, Key: soakKey}}, Mix: mix, Rate: soakRate,
+			Duration: length, Seed: *soakSeed, RepeatFraction: 0.2,
+		})
+	}()
+	p.t.Cleanup(func() { cancel(); <-done })
+	return func() ibisload.Report {
+		<-done
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		return report
+	}
+}
+
+// judgeLoad compares what the load was told with the record of the backend servers.
+func (p *proof) judgeLoad(report ibisload.Report) {
+	p.t.Helper()
+	v := ibisload.Verify(report.Records, p.Platform.History())
+	for what, ids := range map[string][]ibiswork.ID{
+		"load: run twice": v.RunTwice, "load: in two places": v.Overlapping, "load: untrue NotRun": v.FalseNotRun,
+	} {
+		var bad []string
+		for _, id := range ids {
+			bad = append(bad, string(id))
+		}
+		p.report(what, bad)
+	}
+	p.t.Logf("load: %d runs of tasks", v.Runs)
+}
