Send others' digests and the use of teams once a second, not in every heartbeat

Cause: every heartbeat carried up to 13 whole digests, each with every team: 36, 246, 436 and 416 KB/s a daemon at 3, 7, 15 and 30 daemons without teams, against a budget of 13 KB/s for all control. Change: to the same daemon, once a second, a heartbeat has the sender's whole digest, pulses (ID and Seq) of at most 12 others and the digest of one other; in between it has the sender's digest without the use of teams. A daemon that was not known is still answered with whole digests. Silence is noticed as before: a pulse counts as news through others.

--- a/ibispeer/digest.go
+++ b/ibispeer/digest.go
@@ -34,12 +34,26 @@
 	ConfigVersion int64               `json:"ConfigVersion"`
 	StoreHealthy  bool                `json:"StoreHealthy"`
 	Load          Load                `json:"Load"`
+	// WithoutTeams says that Load.Teams was left out, so that the receiver keeps those that it has.
+	WithoutTeams bool `json:"WithoutTeams,omitempty"`
 }
 
-// Gossip is a heartbeat: the sender's digest, some digests that it has of others, and what must reach
-// every daemon soon.
+// Pulse says that a daemon lived when it made the digest with this Seq.
+type Pulse struct {
+	ID  string `json:"ID"`
+	Seq int64  `json:"Seq"`
+}
+
+func (d Digest) withoutTeams() Digest {
+	d.Load.Teams, d.WithoutTeams = nil, true
+	return d
+}
+
+// Gossip is a heartbeat: the sender's digest, what it knows of some others, and what must reach every
+// daemon soon.
 type Gossip struct {
 	Digests []Digest             `json:"Digests"`
+	Pulses  []Pulse              `json:"Pulses,omitempty"`
 	Revoked []string             `json:"Revoked,omitempty"`
 	Denied  []ibisconfig.KeyHash `json:"Denied,omitempty"`
 }
@@ -51,6 +65,15 @@
 	Direct  time.Time // local time of the last heartbeat exchanged with it
 	BeatAt  time.Time // local time at which its row in the store was last seen to change
 	beatSeq int64
+	pulse   int64     // highest Seq that anybody has told of
+	toldAt  time.Time // local time at which it was last sent a full heartbeat
+}
+
+// alive takes note of a sign of life when it is newer than those before.
+func (m *Member) alive(seq int64, now time.Time) {
+	if seq > m.pulse {
+		m.pulse, m.Heard = seq, now
+	}
 }
 
 // ID is the incarnation of the member.
--- a/ibispeer/peers.go
+++ b/ibispeer/peers.go
@@ -35,12 +35,6 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("peer")
 
-// Bounds of one heartbeat round, so that its cost stays flat however many daemons there are.
-const (
-	Fanout         = 6
-	DigestsCarried = 12
-)
-
 // Intervals of the exchange with the store.
 const (
 	BeatInterval      = 1 * time.Second
@@ -136,8 +130,7 @@
 func (p *Peers) Heartbeat(ctx context.Context, g *Gossip) (*Gossip, error) {
 	var reply *Gossip
 	err := p.loop.Do(ctx, func() {
-		p.merge(g)
-		reply = p.gossip()
+		reply = p.answer(g)
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -151,12 +144,11 @@
 	tick := time.NewTicker(p.cfg.Heartbeat)
 	defer tick.Stop()
 	for {
-		var targets []string
-		var g *Gossip
-		if err := p.loop.Do(ctx, func() { targets, g = p.targets(), p.gossip() }); err != nil {
+		var round map[string]*Gossip
+		if err := p.loop.Do(ctx, func() { round = p.round() }); err != nil {
 			return
 		}
-		for _, addr := range targets {
+		for addr, g := range round {
 			go p.exchange(ctx, addr, g)
 		}
 		select {
@@ -171,7 +163,10 @@
 // included.
 func (p *Peers) Spread(ctx context.Context) (answered, all int) {
 	var g *Gossip
-	if p.loop.Do(ctx, func() { g = p.gossip() }) != nil {
+	if p.loop.Do(ctx, func() {
+		p.refresh()
+		g = p.gossip("")
+	}) != nil {
 		return 0, 1
 	}
 	members := p.View().Members
@@ -218,94 +213,6 @@
 	}
 }
 
-// targets chooses the daemons of one round: all of them while they are few, else the next ones in order
-// of IDs and some at random, so that news reaches everybody in few rounds.
-func (p *Peers) targets() []string {
-	var addrs []string
-	ids := p.otherIDs()
-	switch {
-	case len(ids) == 0:
-		addrs = append(addrs, p.cfg.Seeds...)
-	case len(ids) <= Fanout:
-		for _, id := range ids {
-			addrs = append(addrs, p.members[id].Digest.Row.Address)
-		}
-	default:
-		next := sort.SearchStrings(ids, p.cfg.Self.ID)
-		for i := range Fanout / 2 {
-			addrs = append(addrs, p.members[ids[(next+i)%len(ids)]].Digest.Row.Address)
-		}
-		for range Fanout - Fanout/2 {
-			addrs = append(addrs, p.members[ids[p.rand.IntN(len(ids))]].Digest.Row.Address)
-		}
-	}
-	return addrs
-}
-
-func (p *Peers) otherIDs() []string {
-	ids := make([]string, 0, len(p.members))
-	for id := range p.members {
-		if id != p.cfg.Self.ID {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
-
-// gossip is the next heartbeat: this daemon's digest first, then the newest of others.
-func (p *Peers) gossip() *Gossip {
-	p.seq++
-	self := Digest{
-		Row: p.cfg.Self, Seq: p.seq, State: p.hooks.State(), ConfigVersion: p.hooks.Config(),
-		StoreHealthy: time.Since(p.storeAt) < p.cfg.CutOff, Load: p.hooks.Load(),
-	}
-	p.members[self.Row.ID] = &Member{Digest: self, Heard: time.Now(), Direct: time.Now(), BeatAt: time.Now()}
-	p.publish()
-	g := &Gossip{Digests: []Digest{self}, Denied: p.hooks.Denied()}
-	others := p.otherIDs()
-	sort.Slice(others, func(i, j int) bool { return p.members[others[i]].Heard.After(p.members[others[j]].Heard) })
-	for _, id := range others[:min(len(others), DigestsCarried)] {
-		g.Digests = append(g.Digests, p.members[id].Digest)
-	}
-	for id := range p.revoked {
-		if len(g.Revoked) < DigestsCarried {
-			g.Revoked = append(g.Revoked, id)
-		}
-	}
-	return g
-}
-
-// merge takes in a heartbeat; its first digest is the sender's own.
-func (p *Peers) merge(g *Gossip) {
-	now := time.Now()
-	for _, id := range g.Revoked {
-		p.forget(id)
-	}
-	for i, d := range g.Digests {
-		id := d.Row.ID
-		if id == p.cfg.Self.ID || p.revoked[id] {
-			continue
-		}
-		m, ok := p.members[id]
-		if !ok {
-			if _, gone := p.ended[id]; gone || (i > 0 && p.known) {
-				continue // an unknown third party is learned from the store or from itself
-			}
-			m = &Member{BeatAt: now}
-			p.members[id] = m
-		}
-		if d.Seq > m.Digest.Seq {
-			m.Digest, m.Heard = d, now
-		}
-		if i == 0 {
-			m.Heard, m.Direct = now, now
-		}
-	}
-	p.known = p.known || len(g.Digests) > 0
-	p.publish()
-}
-
 // forget drops a revoked incarnation for good.
 func (p *Peers) forget(id string) {
 	if p.revoked[id] {
