Measure only after shards have stopped moving

Cause: daemons that have just joined hand shards over for some seconds; a window taken then gave 46 writes/s and 14 Locate calls/s a daemon for an idle system of 3 daemons. Change: the window begins once no Locate or ShardsMoved call was made for two seconds.

--- a/ibiscapacity/runner.go
+++ b/ibiscapacity/runner.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	settleTime = 4 * time.Second // after a change of size until measuring begins
-	windowTime = 6 * time.Second // of one measurement
+	settleTime = 6 * time.Second // after a change of size, in which the daemons begin to move shards
+	quietTime  = 2 * time.Second // without such a move until measuring begins
+	windowTime = 5 * time.Second // of one measurement
 )
 
 // Runner measures slopes and prints them.
@@ -109,9 +110,27 @@
 	if err := pause(ctx, settleTime); err != nil {
 		return nil, err
 	}
+	if err := c.quiet(ctx); err != nil {
+		return nil, err
+	}
 	return c.measure(ctx)
 }
 
+// quiet waits until shards have stopped moving between daemons.
+func (c *cluster) quiet(ctx context.Context) error {
+	last := -1.0
+	return await(ctx, "shards stay where they are", func() bool {
+		s, err := c.sample(ctx)
+		if err != nil || pause(ctx, quietTime) != nil {
+			return false
+		}
+		moves := s.counters["RpcOutLocateCalls"] + s.counters["RpcOutShardsMovedCalls"]
+		still := moves == last
+		last = moves
+		return still
+	})
+}
+
 func (c *cluster) measure(ctx context.Context) (map[string]float64, error) {
 	a, err := c.sample(ctx)
 	if err != nil {
