--- a/ibisholder/outcome.go
+++ b/ibisholder/outcome.go
@@ -59,7 +59,7 @@
 		ID: e.id, Outcome: ibiswork.Done, Result: e.result(), Error: worst.Error, Server: worst.Server,
 		Attempts: e.saved.Attempt, WaitMS: e.saved.WaitMS, RunMS: worst.RunMS,
 	}
-	again := e.saved.Request.Idempotent || !e.anyRan()
+	again := e.saved.Request.Idempotent || (!e.anyRan() && !e.saved.Ran)
 	switch {
 	case worst.State == ibiswire.TaskDone:
 		e.finish("Finish", a, nil, now)
@@ -73,6 +73,7 @@
 		e.saved.Ran = e.saved.Ran || e.anyRan()
 		if worst.State == ibiswire.TaskFailed {
 			e.saved.Failures++
+			e.retryDue = true
 			e.avoid = append(e.avoid, worst.Server)
 		}
 		if len(worst.Checkpoint) > 0 {
--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -131,17 +131,23 @@
 			}
 			return badServer, err
 		}
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
 		reply, err := srv.api.Start(ctx, req)
 		cancel()
 		if err == nil {
-			_ = o.loop.Do(o.ctx, func() { o.confirmStart(srv, t, reply) })
+			_ = o.loop.Do(o.ctx, func() { o.confirmStart(srv, t, reply, sent) })
 			return didStart, nil
 		}
 		last = err
 		switch {
 		case ibisserver.Unknown.Has(err):
 			unknown = true
+		case ibisserver.ReasonOf(err) == ibisserver.StartByPassed:
+			// There is no record of it and no earlier copy can be started any more, since none carries a
+			// later start-by time. The refusal carries the reading for another try.
+			unknown = false
+			_ = o.loop.Do(o.ctx, func() { o.read(srv, reply.Clock, time.Now()) })
 		case unknown:
 			// An earlier copy may have been started; only the records can tell.
 		case ibisserver.Rejected.Has(err):
@@ -153,6 +159,9 @@
 			return badServer, err
 		}
 	}
+	if !unknown {
+		return notStart, last
+	}
 	_ = o.loop.Do(o.ctx, func() { srv := o.servers[t.server]; o.resync(srv) })
 	log.WithFields(log.Fields{"request": t.id.Request, "server": t.server, "error": last}).Warn("StartOutcomeUnknown")
 	return mayStart, last
@@ -180,7 +189,7 @@
 				RunTimeMS: it.req.RunTimeMS, Payload: it.req.Payload, Note: note(t.meta),
 			},
 			StartBy:  s.reading + StartWindow.Milliseconds(),
-			LeaseEnd: s.reading + o.cfg.Lease.Milliseconds(),
+			LeaseEnd: o.lease(s),
 		}
 	})
 	if doErr != nil {
@@ -190,8 +199,8 @@
 }
 
 // confirmStart books that the server has a record of t.
-func (o *Owner) confirmStart(s *server, t *task, reply ibisserver.Reply) {
-	o.read(s, reply.Clock, time.Now())
+func (o *Owner) confirmStart(s *server, t *task, reply ibisserver.Reply, sent time.Time) {
+	o.read(s, reply.Clock, sent)
 	if o.tasks[t.id] != t {
 		return // its end has been seen already
 	}
