--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 test: build
 	$(GO) test -count=1 -timeout 12m ./...
 
+capacity: build
+	bin/ibiscapacity
+
 demo: build
 	scripts/demo.sh
 
