--- a/cmd/ibiscrank/key.go
+++ b/cmd/ibiscrank/key.go
@@ -20,11 +20,16 @@
 	Hash             keyHashCmd             `cmd:"" help:"Make the first operator's key and its hash for the settings, without a daemon."`
 }
 
-// issuedKey is what a command prints once a key is in force.
-type issuedKey struct {
+// madeKey is a key that was made on the operator's machine.
+type madeKey struct {
 	Key  string             `json:"Key"`
 	Hash ibisconfig.KeyHash `json:"Hash"`
-	ibisadmin.ChangeReply
+}
+
+// issuedKey is what a command prints once a key is in force.
+type issuedKey struct {
+	madeKey
+	ibisconfig.Result
 }
 
 // issue runs a command that makes a key. After an unknown outcome it shows the key as well, because it
@@ -43,8 +48,7 @@
 }
 
 func issued(key string, reply ibisadmin.ChangeReply) issuedKey {
-	reply.Key = ""
-	return issuedKey{Key: key, Hash: ibisconfig.HashKey(key), ChangeReply: reply}
+	return issuedKey{madeKey: madeKey{Key: key, Hash: ibisconfig.HashKey(key)}, Result: reply.Result}
 }
 
 type keyIssueCmd struct {
@@ -118,5 +122,6 @@
 
 // Run prints a new key and its hash.
 func (c *keyHashCmd) Run() error {
-	return printJSON(issued(ibisconfig.NewKey(), ibisadmin.ChangeReply{}))
+	key := ibisconfig.NewKey()
+	return printJSON(madeKey{Key: key, Hash: ibisconfig.HashKey(key)})
 }
--- a/cmd/ibiscrank/report.go
+++ b/cmd/ibiscrank/report.go
@@ -68,11 +68,15 @@
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%v\t%d\n", d.Incarnation, d.Address, d.FailureDomain, d.State, d.Answers, d.ConfigVersion)
 	}
 	tw.Flush()
+	store := "The table service answers."
+	if !o.Store.Reachable {
+		store = "The table service does not answer."
+	}
 	aside := 0
 	for _, s := range o.Servers {
 		if s.SetAside {
 			aside++
 		}
 	}
-	fmt.Fprintf(w, "\n%d backend servers, %d set aside. Store reachable: %v\n\n", len(o.Servers), aside, o.Store.Reachable)
+	fmt.Fprintf(w, "\n%d backend servers, %d set aside. %s\n\n", len(o.Servers), aside, store)
 }
