--- a/ibisallot/sync.go
+++ b/ibisallot/sync.go
@@ -105,23 +105,17 @@
 
 func scan(ctx context.Context, t ibistable.Table) ([]Row, error) {
 	var list []Row
-	for from := prefix; ; {
-		rows, err := t.Scan(ctx, from, ibistable.PrefixEnd(prefix), scanPage)
+	for row, err := range ibistable.ScanPrefix(ctx, t, prefix, scanPage) {
 		if err != nil {
 			return nil, classify(err)
 		}
-		for _, row := range rows {
-			r, err := decode(row)
-			if err != nil {
-				return nil, err
-			}
-			list = append(list, r)
-		}
-		if len(rows) < scanPage {
-			return list, nil
+		r, err := decode(row)
+		if err != nil {
+			return nil, err
 		}
-		from = rows[len(rows)-1].Key + "\x00"
+		list = append(list, r)
 	}
+	return list, nil
 }
 
 // decide chooses the rows to write in this round, the urgent ones first and among them those whose turn
--- a/ibisconfig/store.go
+++ b/ibisconfig/store.go
@@ -205,21 +205,13 @@
 	const page = 500
 	snap := (&Snapshot{Version: h.Version}).clone()
 	for _, prefix := range []string{teamPrefix, operatorPrefix, asidePrefix} {
-		from, to := prefix, ibistable.PrefixEnd(prefix)
-		for {
-			rows, err := s.table.Scan(ctx, from, to, page)
+		for row, err := range ibistable.ScanPrefix(ctx, s.table, prefix, page) {
 			if err != nil {
 				return nil, Unavailable.Wrap(err)
 			}
-			for _, row := range rows {
-				if err := snap.setRow(row.Key, row.Value); err != nil {
-					return nil, err
-				}
+			if err := snap.setRow(row.Key, row.Value); err != nil {
+				return nil, err
 			}
-			if len(rows) == 0 {
-				break
-			}
-			from = rows[len(rows)-1].Key + "\x00"
 		}
 	}
 	return snap, nil
--- a/ibisincarnation/incarnation.go
+++ b/ibisincarnation/incarnation.go
@@ -231,23 +231,17 @@
 // List returns every row, in the order of the IDs.
 func List(ctx context.Context, t ibistable.Table) ([]Row, error) {
 	var list []Row
-	for from := prefix; ; {
-		rows, err := t.Scan(ctx, from, ibistable.PrefixEnd(prefix), scanPage)
+	for row, err := range ibistable.ScanPrefix(ctx, t, prefix, scanPage) {
 		if err != nil {
 			return nil, classify(err)
 		}
-		for _, row := range rows {
-			var r Row
-			if err := cbor.Unmarshal(row.Value, &r); err != nil {
-				return nil, Error.Wrap(fmt.Errorf("%s: %w", row.Key, err))
-			}
-			list = append(list, r)
+		var r Row
+		if err := cbor.Unmarshal(row.Value, &r); err != nil {
+			return nil, Error.Wrap(fmt.Errorf("%s: %w", row.Key, err))
 		}
-		if len(rows) < scanPage {
-			return list, nil
-		}
-		from = rows[len(rows)-1].Key + "\x00"
+		list = append(list, r)
 	}
+	return list, nil
 }
 
 // IsOver reports whether the incarnation has ended or was revoked, or has no row any more. That is final:
--- a/ibisshard/shard.go
+++ b/ibisshard/shard.go
@@ -87,26 +87,20 @@
 	for s := range list {
 		list[s].Shard = s
 	}
-	for from := prefix; ; {
-		rows, err := t.Scan(ctx, from, ibistable.PrefixEnd(prefix), scanPage)
+	for row, err := range ibistable.ScanPrefix(ctx, t, prefix, scanPage) {
 		if err != nil {
 			return nil, classify(err)
 		}
-		for _, row := range rows {
-			r, err := decode(row)
-			if err != nil {
-				return nil, err
-			}
-			if r.Shard >= n || Key(r.Shard) != row.Key {
-				return nil, Error.New("%s holds shard %d of %d", row.Key, r.Shard, n)
-			}
-			list[r.Shard] = r
+		r, err := decode(row)
+		if err != nil {
+			return nil, err
 		}
-		if len(rows) < scanPage {
-			return list, nil
+		if r.Shard >= n || Key(r.Shard) != row.Key {
+			return nil, Error.New("%s holds shard %d of %d", row.Key, r.Shard, n)
 		}
-		from = rows[len(rows)-1].Key + "\x00"
+		list[r.Shard] = r
 	}
+	return list, nil
 }
 
 func decode(row ibistable.Row) (Row, error) {
--- /dev/null
+++ b/ibistable/scan_test.go
@@ -0,0 +1,48 @@
+package ibistable_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibistable"
+	"ibiscrank/ibistablefake"
+)
+
+func TestScanPrefix(t *testing.T) {
+	table := ibistablefake.New()
+	var want []string
+	for i := range 7 {
+		key := fmt.Sprintf("a/%d", i)
+		want = append(want, key)
+		_, err := table.Commit(t.Context(), ibistable.Put(key, 0, []byte("x")))
+		assert.NilError(t, err)
+	}
+	_, err := table.Commit(t.Context(), ibistable.Put("b/0", 0, nil))
+	assert.NilError(t, err)
+	for page := 1; page <= 9; page++ {
+		var got []string
+		for row, err := range ibistable.ScanPrefix(t.Context(), table, "a/", page) {
+			assert.NilError(t, err)
+			got = append(got, row.Key)
+		}
+		assert.DeepEqual(t, got, want)
+	}
+	before := table.Reads()
+	for range ibistable.ScanPrefix(t.Context(), table, "a/", 2) {
+		break
+	}
+	assert.Equal(t, table.Reads(), before+1, "rows were read that nobody asked for")
+}
+
+func TestScanPrefixEndsAtAnError(t *testing.T) {
+	table := ibistablefake.New()
+	table.SetDown(true)
+	n := 0
+	for _, err := range ibistable.ScanPrefix(t.Context(), table, "a/", 2) {
+		n++
+		assert.Assert(t, ibistable.Unavailable.Has(err), "%v", err)
+	}
+	assert.Equal(t, n, 1)
+}
