--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"ibiscrank/ibisjournal"
 	"ibiscrank/ibispeer"
+	"ibiscrank/ibisretry"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibiswire"
 	"ibiscrank/ibiswork"
@@ -120,7 +122,11 @@
 		if err == nil || ibisjournal.Fenced.Has(err) {
 			e.mu.Lock()
 			e.kept = err == nil
+			drop := e.saved.PayloadKept
 			e.mu.Unlock()
+			if drop {
+				h.dropObject(payloadKey(e.id))
+			}
 			return
 		}
 		pause(ctx, e, jitter(delay))
@@ -166,6 +172,10 @@
 	if h.takeEvents(ctx, e) || h.givenUp(e) {
 		return
 	}
+	if !h.loadPayload(ctx, e) {
+		pause(ctx, e, jitter(retryMax))
+		return
+	}
 	e.mu.Lock()
 	if !e.known {
 		// Its task is gone, and the request was never seen here: only its caller can bring it again.
@@ -174,6 +184,11 @@
 		e.mu.Unlock()
 		return
 	}
+	if delay, due := h.retryDelay(e); due {
+		e.mu.Unlock()
+		pause(ctx, e, delay)
+		return
+	}
 	now := time.Now()
 	wait := durableWait
 	if left, bounded := e.timeLeft(now); bounded {
@@ -206,6 +221,27 @@
 	h.placed(ctx, e, reply, err)
 }
 
+// retryDelay is how long a request whose task has failed waits before it is tried again: a backoff, or
+// the longest one when its team has used up its budget of retries.
+func (h *Holder) retryDelay(e *entry) (time.Duration, bool) {
+	if !e.retryDue {
+		return 0, false
+	}
+	e.retryDue = false
+	h.retryMu.Lock()
+	defer h.retryMu.Unlock()
+	var b ibisretry.Backoff
+	if !h.retries.Withdraw(e.saved.Request.Team) {
+		return ibisretry.DefaultMax, true
+	}
+	return b.Delay(e.saved.Failures, globalRand{}), true
+}
+
+// globalRand draws jitter from the process's source of randomness.
+type globalRand struct{}
+
+func (globalRand) Float64() float64 { return rand.Float64() }
+
 // placed takes in the reply to a Place call.
 func (h *Holder) placed(ctx context.Context, e *entry, reply *ibiswire.PlaceReply, err error) {
 	if err != nil {
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -26,20 +26,22 @@
 // saved is what the journal keeps of an entry. A saved entry with a higher Epoch, then a higher Rev,
 // replaces one with a lower.
 type saved struct {
-	Epoch      int64             `json:"Epoch"`
-	Rev        int64             `json:"Rev"`
-	Request    ibiswork.Request  `json:"Request"`
-	AcceptedMS int64             `json:"AcceptedMS"` // Unix milliseconds
-	Attempt    int               `json:"Attempt"`
-	Failures   int               `json:"Failures,omitempty"`
-	Ran        bool              `json:"Ran,omitempty"`    // an earlier attempt may have run
-	Places     []ibiswire.Place  `json:"Places,omitempty"` // of Attempt, once it may have been started
-	Cancelled  bool              `json:"Cancelled,omitempty"`
-	Checkpoint []byte            `json:"Checkpoint,omitempty"`
-	WaitMS     int64             `json:"WaitMS,omitempty"`
-	Answer     *ibiswork.Answer  `json:"Answer,omitempty"`
-	Refusal    *ibiswork.Refusal `json:"Refusal,omitempty"`
-	EndedMS    int64             `json:"EndedMS,omitempty"` // Unix milliseconds
+	Epoch       int64             `json:"Epoch"`
+	Rev         int64             `json:"Rev"`
+	Request     ibiswork.Request  `json:"Request"`
+	AcceptedMS  int64             `json:"AcceptedMS"` // Unix milliseconds
+	Attempt     int               `json:"Attempt"`
+	Failures    int               `json:"Failures,omitempty"`
+	Ran         bool              `json:"Ran,omitempty"`    // an earlier attempt may have run
+	Places      []ibiswire.Place  `json:"Places,omitempty"` // of Attempt, once it may have been started
+	Cancelled   bool              `json:"Cancelled,omitempty"`
+	Checkpoint  []byte            `json:"Checkpoint,omitempty"`
+	WaitMS      int64             `json:"WaitMS,omitempty"`
+	Answer      *ibiswork.Answer  `json:"Answer,omitempty"`
+	Refusal     *ibiswork.Refusal `json:"Refusal,omitempty"`
+	EndedMS     int64             `json:"EndedMS,omitempty"`     // Unix milliseconds
+	PayloadKept bool              `json:"PayloadKept,omitempty"` // in the object store
+	ResultKept  bool              `json:"ResultKept,omitempty"`  // in the object store
 }
 
 func (s saved) newer(o saved) bool {
@@ -73,7 +75,8 @@
 	accepted   time.Time
 	endedAt    time.Time
 	avoid      []string
-	searches   int // since the attempt was lost
+	searches   int  // since the attempt was lost
+	retryDue   bool // its task has failed; the next try waits
 	waiting    bool
 	journalled bool // an earlier holder handed it on through its journal
 	driven     bool
@@ -159,6 +162,13 @@
 		}
 		return ibiswire.Taken
 	}
+	if last := e.owners[ev.Task.Index]; ev.State == ibiswire.TaskLost && last != "" && last != ev.Owner {
+		// A former owner knows nothing of the leases that the present one gives.
+		e.owners[ev.Task.Index] = ""
+		e.saved.Ran = e.saved.Ran || ev.Ran
+		e.poke()
+		return ibiswire.Taken
+	}
 	e.owners[ev.Task.Index] = ev.Owner
 	if old, ok := e.tasks[ev.Task.Index]; !ok || !old.State.Ended() {
 		e.tasks[ev.Task.Index] = ev
--- a/ibisowner/task.go
+++ b/ibisowner/task.go
@@ -24,11 +24,16 @@
 	declared ibiswork.Resources
 	counted  bool
 	started  bool // the server has confirmed that it was started
-	sent     bool // a start was sent
+	sent     bool // a start was sent, by this owner or an earlier one
 	lease    ibischart.Machine
 	hasLease bool
 	stopping bool
-	item     *item
+
+	usage     ibiswork.Resources // as measured, with a lag
+	extra     ibiswork.Resources // of usage, what counts on the server beyond size
+	throttled bool               // the server holds it to its declared size
+	curbed    bool               // the server was asked to
+	item      *item
 }
 
 // count books what t takes of its server.
@@ -60,7 +65,8 @@
 		return
 	}
 	t.counted = false
-	o.fleet.Use(t.server, ibiswork.Resources{}.Sub(t.size))
+	o.fleet.Use(t.server, ibiswork.Resources{}.Sub(t.size.Add(t.extra)))
+	t.extra = ibiswork.Resources{}
 	o.noteService(t, -1)
 	o.wantRound()
 	free(t.meta.Team, t.size)
@@ -142,8 +148,8 @@
 func (o *Owner) adopt(name string, r ibisserver.Record) *task {
 	t := &task{
 		id: r.Task.ID, kind: r.Task.Kind, server: name, size: r.Task.Resources, declared: r.Task.Resources,
-		started: r.StartedAt > 0,
-		meta:    ibiswire.Meta{Shard: r.Task.ID.Request.Shard(o.cfg.Shards), Team: r.Task.Team, Class: r.Task.Class, Tasks: 1},
+		started: r.StartedAt > 0, sent: true,
+		meta: ibiswire.Meta{Shard: r.Task.ID.Request.Shard(o.cfg.Shards), Team: r.Task.Team, Class: r.Task.Class, Tasks: 1},
 	}
 	t.size.Slots = max(t.size.Slots, 1)
 	if len(r.Task.Note) > 0 {
