--- a/ibisadmin/changes.go
+++ b/ibisadmin/changes.go
@@ -26,7 +26,7 @@
 
 // keyFor is the key of a request that issues one: made here, unless the client made it and sent only
 // its hash. A client that makes the key itself may repeat the request after a lost reply and has the
-// key; a key made here can not be shown a second time, so the repeat is refused with Conflict.
+// key; a key made here cannot be shown a second time, so the repeat is refused with Conflict.
 func keyFor(req ChangeRequest) (key string, h ibisconfig.KeyHash) {
 	if req.Hash != "" {
 		return "", req.Hash
@@ -48,7 +48,7 @@
 func issued(reply ChangeReply, key string, req ChangeRequest, err error) (ChangeReply, error) {
 	if ibisconfig.Reused.Has(err) && req.Hash == "" {
 		return reply, ibiswork.Refuse(ibiswork.CodeConflict,
-			"the change %s was made before and its key can not be shown again; withdraw that key and issue another", req.ID)
+			"the change %s was made before and its key cannot be shown again; withdraw that key and issue another", req.ID)
 	}
 	reply.Key = key
 	return reply, err
--- a/ibisadmin/help_test.go
+++ b/ibisadmin/help_test.go
@@ -36,7 +36,7 @@
 	err       error
 	cancelled []string
 	store     *ibisconfig.Store
-	cut       bool // withdrawals can not be spread
+	cut       bool // withdrawals cannot be spread
 }
 
 func (f *fleet) Overview(context.Context) (Overview, error) { return f.overview, f.err }
--- a/ibisburn/part.go
+++ b/ibisburn/part.go
@@ -76,7 +76,7 @@
 	return p.Check()
 }
 
-// Check reports counts that can not be.
+// Check reports counts that cannot be.
 func (p *Part) Check() error {
 	if len(p.Series) > MaxSeries {
 		return Error.New("part of %s: %d series", p.Daemon, len(p.Series))
--- a/ibisconfig/change.go
+++ b/ibisconfig/change.go
@@ -163,7 +163,7 @@
 		return Invalid.Wrap(c.AddKey.Key.Check())
 	case c.PutOperator != nil:
 		if !nameForm.MatchString(c.PutOperator.Name) || c.PutOperator.Name == BootstrapOperator {
-			return Invalid.New("PutOperator.Name: %q can not be used", c.PutOperator.Name)
+			return Invalid.New("PutOperator.Name: %q cannot be used", c.PutOperator.Name)
 		}
 		return Invalid.Wrap(c.PutOperator.Key.Check())
 	case c.SetAside != nil:
--- a/ibisdaemon/doc_test.go
+++ b/ibisdaemon/doc_test.go
@@ -161,3 +161,19 @@
 	})
 	assert.Assert(t, n > 0)
 }
+
+func TestReadmeListsEveryPackageAndPage(t *testing.T) {
+	readme, err := os.ReadFile("../README.md")
+	assert.NilError(t, err)
+	packages, err := filepath.Glob("../ibis*")
+	assert.NilError(t, err)
+	pages, err := filepath.Glob("../docs/*.md")
+	assert.NilError(t, err)
+	assert.Assert(t, len(packages) > 0 && len(pages) > 0)
+	for _, dir := range packages {
+		assert.Assert(t, strings.Contains(string(readme), "\n| `"+filepath.Base(dir)+"` | "), dir)
+	}
+	for _, path := range pages {
+		assert.Assert(t, strings.Contains(string(readme), "](docs/"+filepath.Base(path)+")"), path)
+	}
+}
--- a/ibisgate/drain_test.go
+++ b/ibisgate/drain_test.go
@@ -58,7 +58,7 @@
 }
 
 // TestDrainCutsWaitsShort drains while a submission waits and a question polls, with a deadline that has
-// nearly passed already, so that patience ends at once.
+// nearly passed already, so that waiting submissions are cut short at once.
 func TestDrainCutsWaitsShort(t *testing.T) {
 	for _, tc := range []struct {
 		name, body string
--- a/ibisgate/flow.go
+++ b/ibisgate/flow.go
@@ -27,16 +27,16 @@
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is in progress
 
-	polls       context.Context // ends when draining begins
-	endPolls    context.CancelFunc
-	patience    context.Context // ends when what still waits must be answered with what is known
-	endPatience context.CancelFunc
+	polls          context.Context // ends when draining begins
+	endPolls       context.CancelFunc
+	submissions    context.Context // ends when what still waits must be answered with what is known
+	endSubmissions context.CancelFunc
 }
 
 func newFlow(limit int64) *flow {
 	f := &flow{limit: limit, idle: make(chan struct{})}
 	f.polls, f.endPolls = context.WithCancel(context.Background())
-	f.patience, f.endPatience = context.WithCancel(context.Background())
+	f.submissions, f.endSubmissions = context.WithCancel(context.Background())
 	return f
 }
 
--- a/ibisgate/gate.go
+++ b/ibisgate/gate.go
@@ -64,8 +64,8 @@
 	// answerGrace is how long after the end of its waiting the scheduler may take to answer, and how
 	// long an acceptance that is under way goes on after its caller has gone away.
 	answerGrace = 10 * time.Second
-	// lastLook is how long a request that is cut short by draining may take to tell its state.
-	lastLook = 2 * time.Second
+	// finalStatusTimeout is how long the state of a request that draining cuts short may take to be found.
+	finalStatusTimeout = 2 * time.Second
 )
 
 // Gate serves callers.
@@ -148,7 +148,7 @@
 func (g *Gate) Drain(ctx context.Context) error {
 	idle := g.flow.drain()
 	if deadline, ok := ctx.Deadline(); ok {
-		timer := time.AfterFunc(time.Until(deadline)*3/4, g.flow.endPatience)
+		timer := time.AfterFunc(time.Until(deadline)*3/4, g.flow.endSubmissions)
 		defer timer.Stop()
 	}
 	select {
--- a/ibisgate/reply.go
+++ b/ibisgate/reply.go
@@ -49,7 +49,7 @@
 		}
 		defer g.flow.leave()
 		g.write(w, r, g.call(e, w, r))
-		metrics.GetOrRegisterTimer("gate.time."+r.Method, g.registry).UpdateSince(start)
+		metrics.GetOrRegisterTimer("GateTime"+r.Method, g.registry).UpdateSince(start)
 	}
 }
 
@@ -60,7 +60,7 @@
 		if p == nil {
 			return
 		}
-		log.WithFields(log.Fields{"method": r.Method, "path": r.URL.Path, "panic": p, "stack": string(debug.Stack())}).Error("GatePanic")
+		log.WithFields(log.Fields{"method": r.Method, "path": r.URL.Path, "panic": p, "stack": string(debug.Stack())}).Error("RequestPanicked")
 		a = refuse(&ibiswork.Refusal{Code: ibiswork.CodeInternal, Message: "the daemon failed on this request"}, "")
 	}()
 	return e(w, r)
@@ -68,16 +68,16 @@
 
 // write sends the whole answer with its length, and flushes it before the request counts as ended.
 func (g *Gate) write(w http.ResponseWriter, r *http.Request, a reply) {
-	metrics.GetOrRegisterCounter("gate.answers."+a.label, g.registry).Inc(1)
+	metrics.GetOrRegisterCounter("GateAnswers"+a.label, g.registry).Inc(1)
 	if p, ok := a.body.(Problem); ok {
-		a.body = withHonestNotRun(r, p)
+		a.body = withoutPromise(r, p)
 		if p.RetryAfterMS > 0 {
 			w.Header().Set("Retry-After", strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
 		}
 	}
 	b, err := json.Marshal(a.body)
 	if err != nil {
-		log.WithError(err).Error("GateEncode")
+		log.WithError(err).Error("AnswerNotEncoded")
 		a.status, b = http.StatusInternalServerError, []byte(`{"Code":"Internal","Message":"the answer could not be encoded","NotRun":false}`)
 	}
 	if g.flow.isDraining() || a.label == string(ibiswork.CodeDraining) {
@@ -94,9 +94,9 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-// withHonestNotRun is p without the promise when r submits nothing: that a question was refused says
+// withoutPromise is p without the promise when r submits nothing: that a question was refused says
 // nothing of the work that it asks after.
-func withHonestNotRun(r *http.Request, p Problem) Problem {
+func withoutPromise(r *http.Request, p Problem) Problem {
 	if r.Method != http.MethodPost {
 		p.NotRun = false
 	}
--- a/ibisgate/routes.go
+++ b/ibisgate/routes.go
@@ -53,9 +53,9 @@
 		parent, release = outlive(parent, answerGrace)
 		defer release()
 	}
-	patient, release, cut := withEnd(parent, g.flow.patience)
+	waiting, release, cut := withEnd(parent, g.flow.submissions)
 	defer release()
-	ctx, cancel := context.WithTimeout(patient, wait+answerGrace)
+	ctx, cancel := context.WithTimeout(waiting, wait+answerGrace)
 	defer cancel()
 	st, err := g.scheduler.Submit(ctx, req, wait)
 	if cut() && (err != nil || st.Stage != ibiswork.Ended) {
@@ -73,7 +73,7 @@
 // cutShort is what can be said of a submission that waited for too long while draining. Work that may not
 // have been recorded yet can end with a daemon's memory of it, so its caller submits it again.
 func (g *Gate) cutShort(parent context.Context, req ibiswork.Request) (ibiswork.Status, error) {
-	ctx, cancel := context.WithTimeout(parent, lastLook)
+	ctx, cancel := context.WithTimeout(parent, finalStatusTimeout)
 	defer cancel()
 	st, err := g.scheduler.Status(ctx, req.Team, req.ID, 0)
 	recorded := req.Class.Durable() || (req.Durable() && st.Stage == ibiswork.Running)
@@ -97,7 +97,7 @@
 		defer cancel()
 		st, err := g.scheduler.Status(ctx, team, id, wait)
 		if err != nil && cut() {
-			ctx, cancel := context.WithTimeout(r.Context(), lastLook)
+			ctx, cancel := context.WithTimeout(r.Context(), finalStatusTimeout)
 			defer cancel()
 			return g.scheduler.Status(ctx, team, id, 0)
 		}
--- a/ibistable/scan_test.go
+++ b/ibistable/scan_test.go
@@ -30,7 +30,8 @@
 		assert.DeepEqual(t, got, want)
 	}
 	before := table.Reads()
-	for range ibistable.ScanPrefix(t.Context(), table, "a/", 2) {
+	for _, err := range ibistable.ScanPrefix(t.Context(), table, "a/", 2) {
+		assert.NilError(t, err)
 		break
 	}
 	assert.Equal(t, table.Reads(), before+1, "rows were read that nobody asked for")
