--- a/ibisstandin/payload.go
+++ b/ibisstandin/payload.go
@@ -62,12 +62,19 @@
 
 func sum(b []byte) string { return strconv.FormatUint(xxhash.Sum64(b), 16) }
 
-func parsePayload(b []byte) Payload {
-	var p Payload
+func parsePayload(b []byte) Payload { return parseProgress(b).Payload }
+
+// parseProgress reads the payload of a request, or the checkpoint that stands in its place after the
+// first attempt.
+func parseProgress(b []byte) Progress {
+	var p Progress
 	if json.Unmarshal(b, &p) != nil {
-		return Payload{}
+		p = Progress{}
 	}
 	p.ResultBytes = min(max(p.ResultBytes, 0), ibiswork.MaxPayloadBytes)
+	if p.PayloadSum == "" {
+		p.PayloadSum = sum(b)
+	}
 	return p
 }
 
@@ -77,10 +84,22 @@
 	fail   bool
 	result func() []byte
 	usage  ibiswork.Resources
+	from   Progress // what the attempt began with
+}
+
+// progress is the checkpoint of an attempt that has run for ranMS.
+func (p plan) progress(now, ranMS int64) Progress {
+	saved := p.from
+	saved.Clock, saved.RanMS = now, p.from.RanMS+ranMS
+	if p.runMS != forever {
+		left := max(p.runMS-ranMS, 1)
+		saved.RunMS = &left
+	}
+	return saved
 }
 
 func newPlan(t ibisserver.Task, server string) plan {
-	p := parsePayload(t.Payload)
+	p := parseProgress(t.Payload)
 	usage := t.Resources
 	if p.UseMilliCPU > 0 {
 		usage.MilliCPU = p.UseMilliCPU
@@ -88,12 +107,12 @@
 	if p.UseMemoryMB > 0 {
 		usage.MemoryMB = p.UseMemoryMB
 	}
-	payloadSum := sum(t.Payload)
 	return plan{
-		runMS:  runMS(p, t),
+		from:   p,
+		runMS:  runMS(p.Payload, t),
 		fail:   p.Fail || t.ID.Attempt <= p.FailAttempts,
 		usage:  usage,
-		result: func() []byte { return newResult(t.ID, server, payloadSum, p.ResultBytes) },
+		result: func() []byte { return newResult(t.ID, server, p.PayloadSum, p.ResultBytes) },
 	}
 }
 
--- a/ibisstandin/server_test.go
+++ b/ibisstandin/server_test.go
@@ -410,3 +410,30 @@
 	}
 	assert.Equal(t, len(seen), n)
 }
+
+func TestATaskGoesOnFromItsCheckpoint(t *testing.T) {
+	b := newBench(t)
+	payload := []byte(`{"RunMS":1000,"ResultBytes":50}`)
+	task := newTask(string(payload))
+	for attempt, ran := range []int64{400, 350} {
+		task.ID.Attempt = attempt + 1
+		_, err := b.c.Start(t.Context(), request(task))
+		assert.NilError(t, err)
+		b.advanceMS(ran)
+		task.Payload = only(t, b.control(t, ibisserver.Checkpoint, task.ID), nil).Checkpoint
+		assert.Equal(t, only(t, b.control(t, ibisserver.Stop, task.ID), nil).State, ibisserver.Stopped)
+	}
+	var p Progress
+	assert.NilError(t, json.Unmarshal(task.Payload, &p))
+	assert.Equal(t, p.RanMS, int64(750), "over all attempts")
+	task.ID.Attempt++
+	_, err := b.c.Start(t.Context(), request(task))
+	assert.NilError(t, err)
+	b.advanceMS(249)
+	assert.Equal(t, b.renewed(t, task.ID).State, ibisserver.Running)
+	b.advanceMS(1)
+	rec := b.renewed(t, task.ID)
+	assert.Equal(t, rec.State, ibisserver.Done)
+	_, err = CheckResult(rec.Result, task.ID.Request, payload)
+	assert.NilError(t, err)
+}
--- a/ibisstandin/tasks.go
+++ b/ibisstandin/tasks.go
@@ -162,17 +162,19 @@
 
 // checkpoint records the progress of a running task.
 func (s *Server) checkpoint(t *task, now int64) {
-	b, err := json.Marshal(Progress{Clock: now, RanMS: now - t.rec.StartedAt})
+	b, err := json.Marshal(t.plan.progress(now, now-t.rec.StartedAt))
 	if err == nil {
 		t.rec.Checkpoint = b
 		s.touch(t)
 	}
 }
 
-// Progress is the content of a checkpoint.
+// Progress is the content of a checkpoint. It is the payload of the next attempt, which does what is left.
 type Progress struct {
-	Clock int64 `json:"Clock"` // of the server
-	RanMS int64 `json:"RanMS"`
+	Payload
+	PayloadSum string `json:"PayloadSum"` // of the request's own payload
+	Clock      int64  `json:"Clock"`      // of the server
+	RanMS      int64  `json:"RanMS"`      // of all attempts so far
 }
 
 // touch gives a changed record the next sequence number and wakes the polls.
