--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -46,6 +46,7 @@
 		return time.Duration(f * float64(time.Millisecond)).Round(time.Millisecond).String()
 	},
 	"budget":    budgetText,
+	"burnLook":  burnLookOf,
 	"resources": resourcesText,
 	"time":      func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 	"first":     firstSubjects,
@@ -72,6 +73,20 @@
 	return fmt.Sprintf("%.0f%% of the error budget left", 100*left)
 }
 
+// burnLook is how a line of the report on service-level burn is shown.
+type burnLook struct{ Style, Text string }
+
+// burnLookOf marks an objective whose budget is used up, also when no alert fires any more.
+func burnLookOf(l ibisburn.Line) burnLook {
+	switch {
+	case l.State == ibisburn.NoData:
+		return burnLook{Text: "no data"}
+	case l.State == ibisburn.OK && l.BudgetLeft <= 0:
+		return burnLook{Style: "info", Text: "used up"}
+	}
+	return burnLook{Style: strings.ToLower(string(l.State)), Text: string(l.State)}
+}
+
 // firstSubjects is a short list of what an alert concerns.
 func firstSubjects(subjects []string) string {
 	const most = 8
@@ -366,7 +381,7 @@
 var advice = map[ibiswork.Code]string{
 	ibiswork.CodeStale:            "Someone changed it meanwhile. Look again and repeat if it is still right.",
 	ibiswork.CodeOutcomeUnknown:   "It may or may not have been done. Load this page again: the same action is not done twice.",
-	ibiswork.CodeStoreUnavailable: "Nothing was done. The table service is away; load this page again in a moment.",
+	ibiswork.CodeStoreUnavailable: "The table service is away, and nothing was changed. Load this page again in a moment.",
 	ibiswork.CodeForbidden:        "Nothing was done. Go back and begin again.",
 	ibiswork.CodeNotFound:         "Nothing was done. It may be done already.",
 }
--- a/ibisadmin/page_test.go
+++ b/ibisadmin/page_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ibiscrank/ibisburn"
 	"ibiscrank/ibiswork"
 )
 
@@ -88,7 +89,7 @@
 		"/ops":                     {"What is wrong (", "Backend server without an owner", "By its owner, which tries it again gently: &lt;script", "the error budget is used up"},
 		"/ops/servers":             {"owner 10.0.0.1:8080 (ub-1)", "no owner"},
 		"/ops/servers?filter=ub-2": {"1 of 1"},
-		"/ops/team/tuul-floor":     {"upper limit 100% used", "No requests in 6 h."},
+		"/ops/team/tuul-floor":     {"upper limit 100% used", ">no data<", "No requests in 6 h."},
 		"/ops/team/none":           {"<h1>Not shown", "It may be done already."},
 	} {
 		text := b.visit("GET", path, "").Body.String()
@@ -178,3 +179,17 @@
 	b.mustCall("PUT", "/v1/admin/operators/nara", `{"ID":"make-nara"}`)
 	assert.Equal(t, b.visit("GET", "/ops", "").Header().Get("Location"), "/ops/login", "a withdrawn key keeps its session")
 }
+
+func TestBurnLook(t *testing.T) {
+	for _, tc := range []struct {
+		line ibisburn.Line
+		want burnLook
+	}{
+		{ibisburn.Line{State: ibisburn.Page, BudgetLeft: -3}, burnLook{"page", "Page"}},
+		{ibisburn.Line{State: ibisburn.OK, BudgetLeft: 0.4}, burnLook{"ok", "OK"}},
+		{ibisburn.Line{State: ibisburn.OK, BudgetLeft: -0.1}, burnLook{"info", "used up"}},
+		{ibisburn.Line{State: ibisburn.NoData, BudgetLeft: 1}, burnLook{"", "no data"}},
+	} {
+		assert.Equal(t, burnLookOf(tc.line), tc.want)
+	}
+}
