--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -215,9 +215,6 @@
 		From: h.from(e), Request: e.saved.Request, Attempt: e.saved.Attempt, Intent: e.durable,
 		Avoid: e.avoid, WaitMS: wait.Milliseconds(), WaitedMS: now.Sub(e.accepted).Milliseconds(),
 	}
-	if len(e.saved.Checkpoint) > 0 {
-		req.Request.Payload = e.saved.Checkpoint
-	}
 	last := e.owner
 	e.mu.Unlock()
 	if h.mustGather(req.Request) {
@@ -334,9 +331,10 @@
 	}
 	interactive := !e.saved.Request.Class.Durable()
 	if ibisjournal.Unavailable.Has(err) && interactive {
-		// Nothing was written and nothing was started: the refusal is final and true.
+		// Nothing was written and nothing was started: the refusal is true, and a retry begins anew.
 		e.durable = false
 		e.finish("Refuse", nil, storeRefusal(err), time.Now())
+		e.again.Store(true)
 		e.mu.Unlock()
 		h.release(ctx, e)
 		return
--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -85,6 +85,7 @@
 	driven     bool
 	counted    atomic.Bool // in the number of requests in progress
 	stopSent   bool        // the rest of a failed gang is being stopped
+	again      atomic.Bool // refused before anything was recorded or started; another submission begins anew
 }
 
 // newEntry makes an entry of the present life of sh. Callers hold the lock of sh.
--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -290,3 +290,18 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, reply.Covers, []ibiswire.Cover{{Server: testServer, State: ibiswire.Lapsed}})
 }
+
+func TestLapsedServerIsClaimedAnew(t *testing.T) {
+	o, _ := newTestOwner(t, &serverFake{})
+	do(t, o, func() {
+		s := claimed(o, 1)
+		kicked := false
+		s.kick = func() { kicked = true }
+		o.lapse(s)
+		assert.Assert(t, kicked, "the follower goes on polling and never claims")
+		claimed(o, 2)
+		assert.Assert(t, !s.lapsed)
+		f, ok := o.fleet.Server(testServer)
+		assert.Assert(t, ok && !f.Closed)
+	})
+}
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -452,6 +452,7 @@
 		}
 	}
 	o.refreshClosed(time.Now())
+	o.resync(s) // it gets work again only once it has been claimed anew, with its list of tasks
 }
 
 // refreshClosed closes to new work the servers that are leaving, set aside, on probation with enough
--- a/ibisroute/route_test.go
+++ b/ibisroute/route_test.go
@@ -84,7 +84,7 @@
 		r := newTestRouter(t, func(*ibiswire.SubmitRequest) (*ibiswork.Status, error) {
 			return nil, &ibiswork.Refusal{Code: ibiswork.CodeRecovering, NotRun: notRun}
 		})
-		_, err := r.Submit(ctx, ibiswork.Request{ID: mint(r), Class: ibiswork.Interactive}, 0)
+		_, err := r.Submit(ctx, ibiswork.Request{ID: mint(r), Class: ibiswork.Interactive, DeadlineMS: 300}, 0)
 		assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeRecovering)
 		assert.Equal(t, ibiswork.AsRefusal(err).NotRun, notRun)
 		cancel()
