Read no reply that was made before a server was given up or claimed again

Change: a reply counts only for the same server under the same epoch; a start that is confirmed under an earlier epoch is settled by one more claim. Conclusion: leases are given by the clock of the life that the server is in.

--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -141,8 +141,14 @@
 		reply, err := srv.api.Start(ctx, req)
 		cancel()
 		if err == nil {
-			_ = o.loop.Do(o.ctx, func() { o.confirmStart(srv, t, reply, sent) })
-			return didStart, nil
+			result := mayStart
+			_ = o.loop.Do(o.ctx, func() {
+				if o.present(srv, req.Epoch) {
+					o.confirmStart(srv, t, reply, sent)
+					result = didStart
+				}
+			})
+			return result, nil
 		}
 		last = err
 		switch {
