--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -38,31 +39,33 @@
 	if e.driven || e.state() == stateAccepted || e.state() == stateEnded {
 		return
 	}
-	ctx, ok := e.shard.drive()
-	if !ok {
+	if !e.shard.drive(e.life) {
+		h.leave(e)
 		return
 	}
 	e.driven = true
+	h.enter(e)
 	go func() {
 		defer e.shard.drivers.Done()
-		h.run(ctx, e)
+		h.run(e.life, e)
 	}()
 }
 
-// drive registers one more driver while the shard is held.
-func (sh *shard) drive() (context.Context, bool) {
+// drive registers one more driver while this life of the shard goes on.
+func (sh *shard) drive(life context.Context) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if sh.ctx.Err() != nil {
-		return nil, false
+	if life.Err() != nil {
+		return false
 	}
 	sh.drivers.Add(1)
-	return sh.ctx, true
+	return true
 }
 
 // run drives e from state to state until it has ended or the shard is given up.
 func (h *Holder) run(ctx context.Context, e *entry) {
 	defer h.count(e, stateEnded)
+	defer h.leave(e)
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		state := e.state()
@@ -86,6 +89,20 @@
 	}
 }
 
+// leave takes e, once, out of the number of requests in progress here.
+func (h *Holder) leave(e *entry) {
+	if e.counted.Swap(false) {
+		h.queued.Add(-1)
+	}
+}
+
+// enter counts e, once, among the requests in progress here.
+func (h *Holder) enter(e *entry) {
+	if !e.counted.Swap(true) {
+		h.queued.Add(1)
+	}
+}
+
 // count keeps the number of requests that wait and the rate of starts.
 func (h *Holder) count(e *entry, state string) {
 	waits := state == stateQueued || state == stateReserved || state == stateStarting
@@ -106,7 +123,7 @@
 
 // conclude journals the end of durable work, counts it, and lets it be forgotten in time.
 func (h *Holder) conclude(ctx context.Context, e *entry) {
-	h.queued.Add(-1)
+	h.leave(e)
 	h.ended.Inc(1)
 	e.mu.Lock()
 	r, ok := e.saved.Request, e.saved.Answer != nil && e.saved.Answer.Outcome != ibiswork.Failed
@@ -402,8 +419,9 @@
 	e.owners = make(map[int]string)
 }
 
-// release gives up the places of e's attempt at its owner, and stops what runs there.
-func (h *Holder) release(ctx context.Context, e *entry) {
+// release gives up the places of e's attempt at its owners, and stops what runs there. It reports whether
+// all of those that are known have said so.
+func (h *Holder) release(ctx context.Context, e *entry) bool {
 	e.mu.Lock()
 	req := &ibiswire.ReleaseRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
 	owners := []string{e.owner}
@@ -413,11 +431,14 @@
 		}
 	}
 	e.mu.Unlock()
+	var failed atomic.Bool
 	h.each(ctx, owners, callMargin, func(ctx context.Context, addr string) {
 		if _, err := ibisrpc.Call[ibiswire.ReleaseReply](ctx, h.cfg.Pool, addr, ibiswire.MethodRelease, req); err != nil {
+			failed.Store(true)
 			log.WithFields(log.Fields{"request": e.id, "error": err}).Debug("ReleaseFailed")
 		}
 	})
+	return !failed.Load()
 }
 
 func (h *Holder) from(e *entry) ibiswire.Holder {
@@ -433,14 +454,13 @@
 		}
 		e.mu.Lock()
 		cancelled := e.cancel
-		lost := e.ownerLost(h.cfg.View())
+		lost := e.ownerLost(h.cfg.View()) || e.serverLost(h.gone)
 		e.mu.Unlock()
 		if lost {
 			return
 		}
 		if cancelled && !stopped {
-			h.release(ctx, e)
-			stopped = true
+			stopped = h.release(ctx, e)
 		}
 		pause(ctx, e, lookInterval)
 	}
@@ -461,6 +481,19 @@
 	return lost && e.fire("Lose")
 }
 
+// serverLost moves e to Locating when the VM of a task that runs is gone; its owner may have been replaced
+// before it could tell.
+func (e *entry) serverLost(gone func(server string) bool) bool {
+	lost := false
+	for _, p := range e.saved.Places {
+		if ev, ok := e.tasks[p.Index]; (!ok || !ev.State.Ended()) && gone(p.Server) {
+			lost = true
+			delete(e.tasks, p.Index)
+		}
+	}
+	return lost && e.fire("Lose")
+}
+
 // pause waits for d, a signal to the entry, or the end of ctx.
 func pause(ctx context.Context, e *entry, d time.Duration) {
 	t := time.NewTimer(d)
