--- a/ibiscapacity/slopes.go
+++ b/ibiscapacity/slopes.go
@@ -49,6 +49,12 @@
 	if err := c.teams(ctx, 0, 1); err != nil {
 		return nil, err
 	}
+	if err := pause(ctx, settleTime); err != nil {
+		return nil, err
+	}
+	if err := c.quiet(ctx); err != nil {
+		return nil, err
+	}
 	from := 0
 	for _, to := range sizes {
 		values, err := step(c, from, to)
