--- a/ibisadmin/page.go
+++ b/ibisadmin/page.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"crypto/hmac"
-	"crypto/sha256"
 	"embed"
-	"encoding/hex"
 	"fmt"
 	"html/template"
 	"maps"
@@ -26,9 +23,6 @@
 var pageFiles embed.FS
 
 const (
-	cookieName = "ibiscrank_operator"
-	// sessionSeconds is how long the browser keeps the operator's key.
-	sessionSeconds = 12 * 3600
 	// maxListed bounds each list on the page; the filter finds the rest.
 	maxListed    = 50
 	maxWorst     = 10
@@ -53,49 +47,6 @@
 	"lower":     func(v any) string { return strings.ToLower(fmt.Sprint(v)) },
 }).ParseFS(pageFiles, "pages/*.html"))
 
-// resourcesText is r in the units that people use.
-func resourcesText(r ibiswork.Resources) string {
-	s := fmt.Sprintf("%.4g cores, %.4g GiB", float64(r.MilliCPU)/1000, float64(r.MemoryMB)/1024)
-	if r.Accelerators > 0 {
-		s += fmt.Sprintf(", %d accelerators", r.Accelerators)
-	}
-	if r.Slots > 0 {
-		s += fmt.Sprintf(", %d slots", r.Slots)
-	}
-	return s
-}
-
-// budgetText is the part of an error budget that is left, below zero when it is overspent.
-func budgetText(left float64) string {
-	if left <= 0 {
-		return fmt.Sprintf("the error budget is used up (%.0f%% of it)", 100*(1-left))
-	}
-	return fmt.Sprintf("%.0f%% of the error budget left", 100*left)
-}
-
-// burnLook is how a line of the report on service-level burn is shown.
-type burnLook struct{ Style, Text string }
-
-// burnLookOf marks an objective whose budget is used up, also when no alert fires any more.
-func burnLookOf(l ibisburn.Line) burnLook {
-	switch {
-	case l.State == ibisburn.NoData:
-		return burnLook{Text: "no data"}
-	case l.State == ibisburn.OK && l.BudgetLeft <= 0:
-		return burnLook{Style: "info", Text: "used up"}
-	}
-	return burnLook{Style: strings.ToLower(string(l.State)), Text: string(l.State)}
-}
-
-// firstSubjects is a short list of what an alert concerns.
-func firstSubjects(subjects []string) string {
-	const most = 8
-	if n := len(subjects) - most; n > 0 {
-		return fmt.Sprintf("%s and %d more", strings.Join(subjects[:most], ", "), n)
-	}
-	return strings.Join(subjects, ", ")
-}
-
 // page is what every template gets.
 type page struct {
 	Title    string
@@ -147,31 +98,6 @@
 	w.Write(b)
 }
 
-// session is a page that needs an operator. p is filled in as far as it goes for every page.
-func (a *Admin) session(show func(w http.ResponseWriter, r *http.Request, p page)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		c, err := r.Cookie(cookieName)
-		if err != nil {
-			http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
-			return
-		}
-		operator, ok := a.Config.Snapshot().Operator(c.Value)
-		if !ok {
-			a.clearCookie(w)
-			http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
-			return
-		}
-		show(w, r, page{Daemon: a.Daemon, Operator: operator, Token: formToken(c.Value), key: ibisconfig.HashKey(c.Value), At: a.Now()})
-	}
-}
-
-// formToken proves that a form was made for the operator of that key.
-func formToken(key string) string {
-	mac := hmac.New(sha256.New, []byte(key))
-	mac.Write([]byte("ibiscrank form"))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
 func (a *Admin) render(w http.ResponseWriter, status int, name string, p page) {
 	var b bytes.Buffer
 	if err := pages.ExecuteTemplate(&b, name, p); err != nil {
@@ -184,39 +110,6 @@
 	w.Write(b.Bytes())
 }
 
-func (a *Admin) loginForm(w http.ResponseWriter, _ *http.Request) {
-	a.render(w, http.StatusOK, "login.html", page{Title: "Log in", Daemon: a.Daemon, At: a.Now(), Body: ""})
-}
-
-func (a *Admin) login(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
-	key := strings.TrimSpace(r.PostFormValue("key"))
-	operator, ok := a.Config.Snapshot().Operator(key)
-	if !ok {
-		a.render(w, http.StatusUnauthorized, "login.html", page{Title: "Log in", Daemon: a.Daemon, At: a.Now(), Body: "This key is not in force."})
-		return
-	}
-	log.WithFields(log.Fields{"operator": operator}).Info("OperatorLogin")
-	// A balancer that ends TLS says so; to believe it only makes the cookie stricter.
-	secure := r.TLS != nil || r.Header.Get("X-Forwarded-Proto") == "https"
-	a.setCookie(w, key, sessionSeconds, secure)
-	http.Redirect(w, r, "/ops", http.StatusSeeOther)
-}
-
-func (a *Admin) logout(w http.ResponseWriter, r *http.Request) {
-	a.clearCookie(w)
-	http.Redirect(w, r, "/ops/login", http.StatusSeeOther)
-}
-
-func (a *Admin) clearCookie(w http.ResponseWriter) { a.setCookie(w, "", -1, false) }
-
-func (a *Admin) setCookie(w http.ResponseWriter, value string, maxAge int, secure bool) {
-	http.SetCookie(w, &http.Cookie{
-		Name: cookieName, Value: value, Path: "/ops", MaxAge: maxAge,
-		HttpOnly: true, Secure: secure, SameSite: http.SameSiteStrictMode,
-	})
-}
-
 // teamRow is one team on the page.
 type teamRow struct {
 	TeamLoad
