Claim a server again when it answers after its tasks were given up

Cause: a server that was given up as lapsed and answered before the third failed poll stayed closed to new work for good, since only a claim resets that it has lapsed. Change: a poll that is answered by a lapsed server leads to a new claim.

--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -251,6 +251,10 @@
 	if o.servers[s.vm.Name] != s {
 		return
 	}
+	if s.lapsed {
+		o.resync(s) // its tasks were given up; only a claim tells what runs there now
+		return
+	}
 	now := time.Now()
 	o.read(s, reply.Clock, now)
 	s.seq = max(s.seq, reply.Seq)
