--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -288,6 +288,10 @@
 	if o.servers[s.vm.Name] != s {
 		return
 	}
+	if s.lapsed {
+		o.resync(s) // its tasks were given up; only a claim tells what runs there now
+		return
+	}
 	now := time.Now()
 	o.read(s, reply.Clock, sent)
 	s.seq = max(s.seq, reply.Seq)
