--- a/ibisholder/entry.go
+++ b/ibisholder/entry.go
@@ -83,9 +83,9 @@
 	waiting    bool
 	journalled bool // an earlier holder handed it on through its journal
 	driven     bool
-	counted    atomic.Bool // in the number of requests in progress
 	stopSent   bool        // the rest of a failed gang is being stopped
 	again      atomic.Bool // refused before anything was recorded or started; another submission begins anew
+	counted    atomic.Bool // in the number of requests in progress
 }
 
 // newEntry makes an entry of the present life of sh. Callers hold the lock of sh.
