Wait anew for the leases of a revoked daemon before an unclaimed server counts as lapsed

Cause: a daemon that could not claim a server counted it as lapsed a fixed time after it began to try, while another daemon owned it all along. When that one was later cut off and revoked, it renewed the leases there for up to OrphanRenewal, and a search that no longer asked it took the server for lapsed: a task in two places. Change: the time begins anew at each revocation of a daemon. Before: without DaemonRevoked the server stays lapsed (TestRevokedDaemonMayRenewStill does not build; with an empty DaemonRevoked it fails at its second half). After: passes with -race. Conclusion: Lapsed counts from the last moment at which another owner can have had news.

--- a/ibisdaemon/daemon.go
+++ b/ibisdaemon/daemon.go
@@ -187,6 +187,8 @@
 	news     *newsTimes
 	vms      *vmTracker
 	kick     chan struct{}
+
+	revocations revocations
 }
 
 // parts is what newNode takes.
--- a/ibisdaemon/loops.go
+++ b/ibisdaemon/loops.go
@@ -166,11 +166,36 @@
 }
 
 // changed follows a change of the set of daemons.
-func (n *node) changed(*ibispeer.View) {
+func (n *node) changed(v *ibispeer.View) {
 	n.holder.Wake()
+	if n.revocations.grew(v.Revoked) {
+		if err := n.owner.DaemonRevoked(context.Background()); err != nil {
+			log.WithField("error", err).Debug("RevocationNotTold")
+		}
+	}
 	n.divideServers(context.Background())
 }
 
+// revocations remembers which incarnations are known to be revoked.
+type revocations struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// grew reports whether revoked has an incarnation that no earlier call had.
+func (r *revocations) grew(revoked map[string]bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen == nil {
+		r.seen = make(map[string]bool)
+	}
+	before := len(r.seen)
+	for id := range revoked {
+		r.seen[id] = true
+	}
+	return len(r.seen) > before
+}
+
 func (n *node) pollVMs(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -304,3 +304,23 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, reply.Covers, []ibiswire.Cover{{Server: testServer, State: ibiswire.Lapsed}})
 }
+
+// TestRevokedDaemonMayRenewStill: a server that cannot be claimed here may have been renewed by another
+// daemon until that one was revoked, and OrphanRenewal longer.
+func TestRevokedDaemonMayRenewStill(t *testing.T) {
+	o, _ := newTestOwner(t, &serverFake{})
+	assert.NilError(t, o.SetServers(t.Context(), []ibisserver.VM{testVM}, nil))
+	var since time.Time
+	do(t, o, func() {
+		s := o.servers[testServer]
+		since = s.since
+		o.checkLapse(s, since.Add(OrphanRenewal+3*o.cfg.Lease))
+		assert.Assert(t, s.lapsed)
+	})
+	assert.NilError(t, o.DaemonRevoked(t.Context()))
+	do(t, o, func() {
+		s := o.servers[testServer]
+		assert.Assert(t, !s.lapsed, "the revoked daemon may renew leases there")
+		assert.Assert(t, s.since.After(since))
+	})
+}
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -130,6 +130,18 @@
 	o.guard.Remove(s.vm.Name)
 }
 
+// DaemonRevoked says that another daemon was revoked. It may have owned any server that this one has not
+// claimed, and renew the leases there until it has been without news for OrphanRenewal.
+func (o *Owner) DaemonRevoked(ctx context.Context) error {
+	return o.loop.Do(ctx, func() {
+		for _, s := range o.servers {
+			if !s.claimed {
+				s.since, s.lapsed = time.Now(), false
+			}
+		}
+	})
+}
+
 // fenced gives up a server that obeys a higher epoch than any that this daemon asked for.
 func (o *Owner) fenced(s *server, err error) {
 	highest, known := ibisserver.HighestEpoch(err)
