--- a/ibisroute/route.go
+++ b/ibisroute/route.go
@@ -109,6 +109,13 @@
 	return st, err
 }
 
+func (r *Router) submitOnce(ctx context.Context, addr string, m *ibiswire.SubmitRequest) (*ibiswork.Status, error) {
+	if addr == "" {
+		return r.cfg.Local.Submit(ctx, m)
+	}
+	return ibisrpc.Call[ibiswork.Status](ctx, r.cfg.Pool, addr, ibiswire.MethodSubmit, m)
+}
+
 // patience is how long a request is offered to its shard: as long as a shard needs to move, but not
 // beyond the request's deadline.
 func patience(r ibiswork.Request) time.Duration {
@@ -118,13 +125,6 @@
 	return Patience
 }
 
-func (r *Router) submitOnce(ctx context.Context, addr string, m *ibiswire.SubmitRequest) (*ibiswork.Status, error) {
-	if addr == "" {
-		return r.cfg.Local.Submit(ctx, m)
-	}
-	return ibisrpc.Call[ibiswork.Status](ctx, r.cfg.Pool, addr, ibiswire.MethodSubmit, m)
-}
-
 // Status asks the holder of a request's shard about it.
 func (r *Router) Status(ctx context.Context, team string, id ibiswork.ID, wait time.Duration) (ibiswork.Status, error) {
 	return r.ask(ctx, team, id, wait, ibiswire.MethodStatus, r.cfg.Local.Status)
