--- a/ibisproof/limit_test.go
+++ b/ibisproof/limit_test.go
@@ -53,7 +53,9 @@
 		} else {
 			used += e.Resources.Slots
 		}
-		if e.WallNS >= since.UnixNano() {
+		if e.WallNS < since.UnixNano() {
+			most = used
+		} else {
 			most = max(most, used)
 		}
 	}
