--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -164,10 +164,11 @@
 		hint.Taken = append(hint.Taken, ibiswire.Holder{Shard: row.Shard, Epoch: row.Epoch, Incarnation: h.cfg.Self})
 	}
 	h.tell(hint)
+	log.WithField("shards", len(taken)).Info("ShardsTaken")
 	for _, row := range taken {
 		h.setRow(row)
 		h.shards[row.Shard].become(reading, row.Epoch)
-		log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "sources": len(row.Sources)}).Info("ShardTaken")
+		log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "sources": len(row.Sources)}).Debug("ShardTaken")
 		h.wg.Add(1)
 		go func() {
 			defer h.wg.Done()
@@ -230,7 +231,7 @@
 	} else {
 		h.setRow(row)
 		h.tell(&ibiswire.ShardsMoved{Released: []int{sh.id}})
-		log.WithField("shard", sh.id).Info("ShardReleased")
+		log.WithField("shard", sh.id).Debug("ShardReleased")
 	}
 	// Without the drivers this life of the shard is over either way; a row that still names this daemon is
 	// taken again with a higher epoch.
@@ -263,16 +264,18 @@
 	return h.cfg.Journal.Append(ctx, records...)
 }
 
-// quiet waits until the shard has no request in progress that lives in memory alone.
+// quiet waits until the shard has no request in progress that lives in memory alone, and none whose
+// acceptance is still being journalled.
 func (sh *shard) quiet(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for _, e := range sh.all() {
+		until := e.done
 		if e.isDurable() {
-			continue
+			until = e.accept // its acceptance must be in the journal before another daemon reads that
 		}
 		select {
-		case <-e.done:
+		case <-until:
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
--- a/ibisholder/recover.go
+++ b/ibisholder/recover.go
@@ -44,7 +44,7 @@
 	for _, e := range sh.all() {
 		h.driveRestored(e)
 	}
-	log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "requests": len(sh.all())}).Info("ShardServing")
+	log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "requests": len(sh.all())}).Debug("ShardServing")
 	h.cover(sh, row, current)
 }
 
@@ -56,7 +56,6 @@
 		e.shard.retire(e)
 		return
 	}
-	h.queued.Add(1)
 	h.drive(e)
 }
 
@@ -83,6 +82,8 @@
 		}
 	}
 	now := time.Now()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	entries := make([]*entry, 0, len(latest))
 	for _, s := range latest {
 		entries = append(entries, restored(sh, s, now))
@@ -136,7 +137,7 @@
 			sh.mu.Lock()
 			sh.covered = true
 			sh.mu.Unlock()
-			log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "events": len(f.events)}).Info("ShardCovered")
+			log.WithFields(log.Fields{"shard": row.Shard, "epoch": row.Epoch, "events": len(f.events)}).Debug("ShardCovered")
 			return
 		}
 		time.Sleep(jitter(2 * locateInterval))
