Put no entry of an ended life into the next one

Cause: the recovery of a shard's earlier life could put its entries over those of the next; since drivers know their life, such an entry was never driven. Change: put passes over an entry whose life is not the present one. Before: TestEntryOfAnEndedLifeIsNotPut fails. After: passes with -race. Conclusion: a restored request is always the one that is driven.

--- a/ibisholder/chart_test.go
+++ b/ibisholder/chart_test.go
@@ -145,3 +145,15 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(st.Answer.Result), "7")
 }
+
+func TestEntryOfAnEndedLifeIsNotPut(t *testing.T) {
+	sh := servingShard(3)
+	r := testRequest(ibiswork.Batch, true)
+	late := restored(sh, saved{Attempt: 1, Request: r}, time.Now())
+	sh.become(reading, 5)
+	now := restored(sh, saved{Attempt: 1, Request: r}, time.Now())
+	sh.put(now)
+	sh.put(late) // by the recovery of the life before, which nobody drives any more
+	e, _ := sh.get(r.ID)
+	assert.Assert(t, e == now)
+}
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -205,11 +205,13 @@
 	return e
 }
 
-// put adds a restored entry.
+// put adds a restored entry, unless the life for which it was restored has ended.
 func (sh *shard) put(e *entry) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.entries[e.id] = e
+	if e.life == sh.ctx {
+		sh.entries[e.id] = e
+	}
 }
 
 func (sh *shard) remove(e *entry) {
