--- a/ibisproof/silence_test.go
+++ b/ibisproof/silence_test.go
@@ -84,7 +84,6 @@
 				if err != nil || after > replacedWithin && took > quickAnswer {
 					bad = append(bad, r.ID.Time().Format(time.StampMilli)+" sent "+after.String()+" after the silence took "+took.String())
 				}
-				p.t.Logf("probe of daemon %d sent %v after, took %v %v", i, after.Round(time.Millisecond), took.Round(time.Millisecond), err)
 			})
 		}
 		<-ticker.C
