--- a/ibisproof/config_test.go
+++ b/ibisproof/config_test.go
@@ -248,6 +248,8 @@
 			ibisharness.Await(t, answerWithin, "the bound has passed for a while", func() (bool, any) {
 				return time.Since(withdrawn) > keyBound+2*time.Second, time.Since(withdrawn)
 			})
+			stopKeyed()
+			p.report("taken with a withdrawn key", takenWithdrawn(p.Trace.Submissions(), key, withdrawn))
 			if tc.tableDown {
 				p.Platform.TableFaults(ibisstandin.TableFaults{})
 				p.Daemons[0].AwaitReady()
@@ -262,9 +264,7 @@
 				s := holder.Submit(t.Context(), p.request(ibiswork.Interactive, true, 10), i, time.Second)
 				assert.Assert(t, s.Refusal != nil && s.Refusal.Code == ibiswork.CodeUnauthorized, "daemon %d: %+v", i, s)
 			}
-			stopKeyed()
 			p.report("version fell", stopWatch())
-			p.report("taken with a withdrawn key", takenWithdrawn(p.Trace.Submissions(), key, withdrawn))
 			p.judge()
 		})
 	}
