Keep the ports of measured daemons free for their restart

Cause: with 30 daemons, bin/ibiscapacity daemons failed once: not all daemons served within a minute after one had been killed and started again, without a log. Its ports were in the range of outgoing connections, so that another may have taken one; this was not seen directly. Change: ports below that range, and the errors of daemons are shown.

--- a/ibiscapacity/cluster.go
+++ b/ibiscapacity/cluster.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -108,16 +109,33 @@
 	return c.awaitWhole(ctx)
 }
 
+// Ports of daemons lie below the range from which outgoing connections take theirs, so that the port of a
+// daemon that is down stays free for its restart.
+const (
+	firstPort = 12000
+	portCount = 9000
+)
+
+// freeAddress is a loopback address that nothing listens at.
+func freeAddress() (string, error) {
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address, nil
+		}
+	}
+	return "", Error.New("no free port")
+}
+
 // prepare writes the settings of a daemon.
 func (c *cluster) prepare(i int) (*daemon, error) {
 	var addr [2]string
 	for j := range addr {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, Error.Wrap(err)
+		var err error
+		if addr[j], err = freeAddress(); err != nil {
+			return nil, err
 		}
-		addr[j] = l.Addr().String()
-		l.Close()
 	}
 	s := ibissettings.Settings{
 		Listen: addr[0], PeerListen: addr[1], FailureDomain: fmt.Sprintf("fd-%d", i%3+1), LogLevel: "error",
@@ -133,6 +151,7 @@
 
 func (c *cluster) launch(d *daemon) error {
 	d.cmd = exec.Command(filepath.Join(c.bin, "ibiscrank"), "serve", d.file)
+	d.cmd.Stderr = os.Stderr // only errors are logged
 	return Error.Wrap(d.cmd.Start())
 }
 
