Keep the row of a daemon that is first heard of before its first beat

Cause: a digest with sequence number 0, passed on by a third daemon at the start of a cluster, made a member with an empty digest. tellOthers looked the empty ID up and the daemon ended with a nil pointer. Seen: TestSoak, the third run in a row, daemon-2 panicked in tellOthers 40 ms after its start. Change: a new member has the row of the digest that it was learned from. Ruled out: nothing else; the cause was read from the code, and no test brings the race about yet.

--- a/ibispeer/gossip.go
+++ b/ibispeer/gossip.go
@@ -153,7 +153,7 @@
 			if _, gone := p.ended[id]; gone || (i > 0 && p.known) {
 				continue // an unknown third party is learned from the store or from itself
 			}
-			m = &Member{BeatAt: now}
+			m = &Member{BeatAt: now, Digest: Digest{Row: d.Row}} // d itself may have no beat yet
 			p.members[id] = m
 		}
 		if d.Seq > m.Digest.Seq {
