Send no heartbeat to a daemon that has just sent one

Cause: two daemons each began an exchange every 250 ms, and either exchange tells both all that there is. Change: a round leaves out whom this daemon exchanged with less than half an interval ago.

--- a/ibispeer/gossip.go
+++ b/ibispeer/gossip.go
@@ -39,9 +39,13 @@
 			targets = append(targets, ids[p.rand.IntN(len(ids))])
 		}
 	}
+	now := time.Now()
 	for _, id := range targets {
-		addr := p.members[id].Digest.Row.Address
-		if round[addr] == nil {
+		m := p.members[id]
+		if now.Sub(m.Direct) < p.cfg.Heartbeat/2 {
+			continue // it has just sent one itself, and was answered with the newest that there is to say
+		}
+		if addr := m.Digest.Row.Address; round[addr] == nil {
 			round[addr] = p.gossip(id)
 		}
 	}
--- a/ibispeer/gossip_test.go
+++ b/ibispeer/gossip_test.go
@@ -88,3 +88,25 @@
 	_, found := c.View().Find("unknown")
 	assert.Assert(t, !found)
 }
+
+func TestRoundLeavesOutWhoHasJustExchanged(t *testing.T) {
+	a, b := newPeers("a"), newPeers("b")
+	a.cfg.Heartbeat, b.cfg.Heartbeat = time.Hour, time.Hour
+	say(a, b)
+	assert.Equal(t, len(a.round()), 0)
+	assert.Equal(t, len(b.round()), 0)
+	b.members["a"].Direct = time.Now().Add(-time.Hour)
+	assert.Equal(t, len(a.round()), 0)
+	assert.Equal(t, len(b.round()), 1)
+}
+
+func TestRoundReachesAllWhileTheyAreFew(t *testing.T) {
+	a := newPeers("a")
+	for _, id := range []string{"b", "c", "d", "e", "f", "g"} {
+		say(newPeers(id), a)
+	}
+	assert.Equal(t, len(a.round()), Fanout)
+	say(newPeers("h"), a)
+	got := len(a.round())
+	assert.Assert(t, got >= Fanout/2 && got <= Fanout, "%d", got)
+}
