--- a/ibisharness/caller.go
+++ b/ibisharness/caller.go
@@ -212,7 +212,7 @@
 			return s.Status, nil
 		case s.Accepted():
 			st, err := k.Follow(ctx, r.ID, daemon)
-			if refusal, ok := errors.AsType[*ibiswork.Refusal](err); !ok || refusal.Code != ibiswork.CodeNotFound || r.Durable() {
+			if refusal, ok := errors.AsType[*ibiswork.Refusal](err); !ok || refusal.Code != ibiswork.CodeNotFound || r.Class.Durable() {
 				return st, err
 			}
 			last = err
--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -148,7 +148,10 @@
 	rows := *h.rows.Load()
 	var free []ibisshard.Row
 	for s, row := range rows {
-		if _, held := h.shards[s].held(); !held && assigned[s] == h.cfg.Self && (c.over(row.Holder) || row.Holder == h.cfg.Self) {
+		// A row that names this daemon although the shard is not held here is left over from a release that
+		// failed. No other daemon takes such a shard, whoever it is assigned to.
+		mine := row.Holder == h.cfg.Self || assigned[s] == h.cfg.Self && c.over(row.Holder)
+		if _, held := h.shards[s].held(); !held && mine {
 			free = append(free, row)
 		}
 	}
@@ -244,7 +247,7 @@
 	for _, e := range sh.all() {
 		e.mu.Lock()
 		class := e.saved.Request.Class
-		keep := e.known && !class.Durable() && e.state() != stateAccepted && (e.state() != stateEnded || e.endedAt.After(since))
+		keep := e.known && !e.again.Load() && !class.Durable() && e.state() != stateAccepted && (e.state() != stateEnded || e.endedAt.After(since))
 		e.mu.Unlock()
 		if !keep || len(records) >= maxAnswers {
 			continue
@@ -261,16 +264,18 @@
 	return h.cfg.Journal.Append(ctx, records...)
 }
 
-// quiet waits until the shard has no request in progress that lives in memory alone.
+// quiet waits until the shard has no request in progress that lives in memory alone, and none whose
+// acceptance is still being journalled.
 func (sh *shard) quiet(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for _, e := range sh.all() {
+		until := e.done
 		if e.isDurable() {
-			continue
+			until = e.accept // its acceptance must be in the journal before another daemon reads that
 		}
 		select {
-		case <-e.done:
+		case <-until:
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
--- a/ibisholder/shard.go
+++ b/ibisholder/shard.go
@@ -101,13 +101,6 @@
 	return sh.since
 }
 
-// left is closed when this life of the shard has ended.
-func (sh *shard) left() <-chan struct{} {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.ctx.Done()
-}
-
 // find returns the entry of a request that has been submitted before.
 func (sh *shard) find(r ibiswork.Request) (*entry, error) {
 	sh.mu.Lock()
@@ -122,6 +115,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.again.Load() {
+		return nil, nil
+	}
 	if e.saved.Request.Team != r.Team {
 		return nil, ibiswork.Refuse(ibiswork.CodeForbidden, "the ID belongs to another team")
 	}
@@ -147,11 +143,16 @@
 		a.Idempotent == b.Idempotent && bytes.Equal(a.Payload, b.Payload)
 }
 
-// honest takes back the promise of a refusal that the request was not run, where an earlier submission
-// of it may have been run for a holder whose memory is lost. Work that is not idempotent is known from the
-// journal.
+// honest makes a refusal of a request that was not taken in say the truth. It takes back the promise that
+// the request was not run, where an earlier submission of it may have been run for a holder whose memory
+// is lost. Work that is not idempotent is known from the journal.
 func (sh *shard) honest(err error, req *ibiswire.SubmitRequest) error {
 	refusal, ok := errors.AsType[*ibiswork.Refusal](err)
+	if ok && req.Fresh && refusal.Code == ibiswork.CodeRecovering {
+		fixed := *refusal
+		fixed.NotRun = true // it was not taken in here, and nowhere before
+		return &fixed
+	}
 	if !ok || !refusal.NotRun || req.Fresh || !req.Request.Idempotent {
 		return err
 	}
@@ -174,13 +175,17 @@
 	if sh.state != serving {
 		return nil, false, recovering("the shard has no ready holder here")
 	}
-	if e := sh.entries[r.ID]; e != nil {
-		return e, false, nil
+	old := sh.entries[r.ID]
+	if old != nil && !old.again.Load() {
+		return old, false, nil
 	}
-	if !fresh && !sh.covered {
+	if old == nil && !fresh && !sh.covered {
 		return nil, false, recovering("some backend servers have not been asked yet for earlier runs")
 	}
 	e = newEntry(sh, r, time.Now())
+	if old != nil {
+		e.saved.Attempt = old.saved.Attempt + 1 // an owner may still release the attempt before
+	}
 	sh.entries[r.ID] = e
 	return e, true, nil
 }
@@ -200,11 +205,13 @@
 	return e
 }
 
-// put adds a restored entry.
+// put adds a restored entry, unless the life for which it was restored has ended.
 func (sh *shard) put(e *entry) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.entries[e.id] = e
+	if e.life == sh.ctx {
+		sh.entries[e.id] = e
+	}
 }
 
 func (sh *shard) remove(e *entry) {
@@ -251,7 +258,9 @@
 		if !e.endedAt.Before(before) && (len(sh.ended)-n <= maxEnded || e.durable) {
 			break
 		}
-		delete(sh.entries, e.id)
+		if sh.entries[e.id] == e {
+			delete(sh.entries, e.id)
+		}
 		if e.durable || e.journalled {
 			journalled = append(journalled, e)
 		}
--- a/ibisowner/locate.go
+++ b/ibisowner/locate.go
@@ -99,6 +99,9 @@
 		wanted[p.Server] = true
 	}
 	for name, s := range o.servers {
+		if !s.claimed && !s.lapsed {
+			continue // nothing is known of it here
+		}
 		state := ibiswire.Silent
 		switch {
 		case s.lapsed:
@@ -136,7 +139,7 @@
 			settled[p.Server] = true
 			continue
 		}
-		reply, err := o.control(s, ibisserver.ControlRequest{Epoch: s.epoch, Action: ibisserver.Stop, Tasks: []ibisserver.TaskID{id}})
+		reply, err := o.control(s, ibisserver.Stop, id)
 		if err != nil {
 			continue
 		}
--- a/ibisowner/server.go
+++ b/ibisowner/server.go
@@ -33,6 +33,7 @@
 	claimed bool
 	lapsed  bool // every lease has certainly ended
 	epoch   int64
+	asked   int64 // the highest epoch that this daemon has asked for
 	clock   ibislease.Clock
 	horizon ibislease.Horizon // of all leases on it
 	reading int64             // highest clock reading, in the server's clock
@@ -129,16 +130,36 @@
 	o.guard.Remove(s.vm.Name)
 }
 
-// fenced gives up a server that obeys a higher epoch.
-func (o *Owner) fenced(s *server) {
+// DaemonRevoked says that another daemon was revoked. It may have owned any server that this one has not
+// claimed, and renew the leases there until it has been without news for OrphanRenewal.
+func (o *Owner) DaemonRevoked(ctx context.Context) error {
+	return o.loop.Do(ctx, func() {
+		for _, s := range o.servers {
+			if !s.claimed {
+				s.since, s.lapsed = time.Now(), false
+			}
+		}
+	})
+}
+
+// fenced gives up a server that obeys a higher epoch than any that this daemon asked for.
+func (o *Owner) fenced(s *server, err error) {
+	highest, known := ibisserver.HighestEpoch(err)
 	_ = o.loop.Do(o.ctx, func() {
-		if o.servers[s.vm.Name] == s {
-			log.WithFields(log.Fields{"server": s.vm.Name, "epoch": s.epoch}).Info("ServerFenced")
-			o.loseServer(s, false)
+		if !known || highest > s.asked {
+			o.outbid(s)
 		}
 	})
 }
 
+// outbid gives up a server that another daemon has claimed.
+func (o *Owner) outbid(s *server) {
+	if o.servers[s.vm.Name] == s {
+		log.WithFields(log.Fields{"server": s.vm.Name, "epoch": s.epoch}).Info("ServerFenced")
+		o.loseServer(s, false)
+	}
+}
+
 // follow claims a server and polls it until it is given up.
 func (o *Owner) follow(ctx context.Context, s *server) {
 	for ctx.Err() == nil {
@@ -157,6 +178,9 @@
 	}
 	epoch := s.epoch + 1
 	for range 3 {
+		if o.loop.Do(ctx, func() { s.asked = max(s.asked, epoch) }) != nil {
+			return false
+		}
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		reply, err := s.api.Claim(callCtx, ibisserver.ClaimRequest{Epoch: epoch, Owner: o.cfg.Self})
@@ -165,7 +189,7 @@
 		case err == nil:
 			return o.loop.Do(ctx, func() { o.claimedServer(s, reply, epoch, sent) }) == nil
 		case ibisserver.Fenced.Has(err) && o.isForeign(ctx, s):
-			o.fenced(s)
+			_ = o.loop.Do(ctx, func() { o.outbid(s) })
 			return false
 		case ibisserver.Fenced.Has(err):
 			epoch = max(epoch, reply.Epoch) + 1
@@ -260,7 +284,7 @@
 				return
 			}
 		case ibisserver.Fenced.Has(err):
-			o.fenced(s)
+			o.fenced(s, err)
 			sleep(ctx, reclaimDelay)
 			return
 		default:
@@ -276,6 +300,10 @@
 	if o.servers[s.vm.Name] != s {
 		return
 	}
+	if s.lapsed {
+		o.resync(s) // its tasks were given up; only a claim tells what runs there now
+		return
+	}
 	now := time.Now()
 	o.read(s, reply.Clock, sent)
 	s.seq = max(s.seq, reply.Seq)
@@ -333,66 +361,6 @@
 // endedOnRecord reports whether a server's own record has said that the task ended.
 func endedOnRecord(s ibiswire.EventState) bool { return s.Ended() && s != ibiswire.TaskLost }
 
-// renewals extends the leases of the running tasks of s.
-func (o *Owner) renewals(ctx context.Context, s *server) {
-	for sleep(ctx, o.cfg.Lease/4) {
-		var req ibisserver.RenewRequest
-		if o.loop.Do(ctx, func() { req = o.renewal(s) }) != nil {
-			return
-		}
-		if len(req.Leases) == 0 {
-			continue
-		}
-		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-		reply, err := s.api.Renew(callCtx, req)
-		cancel()
-		switch {
-		case err == nil:
-			_ = o.loop.Do(ctx, func() { o.renewed(s, req, reply, sent) })
-		case ibisserver.Fenced.Has(err):
-			o.fenced(s)
-			return
-		default:
-			_ = o.loop.Do(ctx, func() { o.renewalFailed(req) })
-		}
-	}
-}
-
-// renewal lists the leases of s to extend. An owner without news for long extends none, so that another
-// may count on their end.
-func (o *Owner) renewal(s *server) ibisserver.RenewRequest {
-	req := ibisserver.RenewRequest{Epoch: s.epoch}
-	if !s.claimed || time.Since(time.Unix(0, o.newsAt.Load())) > OrphanRenewal {
-		return req
-	}
-	for _, t := range o.tasks {
-		if t.server == s.vm.Name && t.started && !t.stopping {
-			req.Leases = append(req.Leases, ibisserver.Lease{ID: t.id, End: o.lease(s)})
-		}
-	}
-	return req
-}
-
-func (o *Owner) renewed(s *server, req ibisserver.RenewRequest, reply ibisserver.Reply, sent time.Time) {
-	now := time.Now()
-	o.read(s, reply.Clock, sent)
-	for _, l := range req.Leases {
-		if t := o.tasks[l.ID]; t != nil {
-			o.fireLease(t, "Renew")
-		}
-	}
-	o.records(s, reply.Records, now)
-}
-
-func (o *Owner) renewalFailed(req ibisserver.RenewRequest) {
-	for _, l := range req.Leases {
-		if t := o.tasks[l.ID]; t != nil {
-			o.fireLease(t, "Silence")
-		}
-	}
-}
-
 // checkLapse finds out whether every lease on an unreachable server has certainly ended.
 func (o *Owner) checkLapse(s *server, now time.Time) {
 	if s.lapsed {
@@ -441,6 +409,7 @@
 		}
 	}
 	o.refreshClosed(time.Now())
+	o.resync(s) // it gets work again only once it has been claimed anew, with its list of tasks
 }
 
 // refreshClosed closes to new work the servers that are leaving, set aside, on probation with enough
