Tell servers the declared size, so that learned sizes cannot grow by themselves

Cause: a start carried the learned size as the task's resources. What the server then reported followed it, the next size was learned from that, and so on: tasks declared at 500 thousandths of a core counted as 2594 and more, until servers of 4 cores were full with one of them. Requests stayed Queued for 27 s, daemons could not be drained. Ruled out, by a dump of the stuck owner: servers closed or set aside, the guard, the reservation of a gang, the upper limit. Change: the server is told the declared size; the learned one only counts here. TestServerIsToldTheDeclaredSize keeps it.

--- a/ibisholder/control.go
+++ b/ibisholder/control.go
@@ -277,14 +277,26 @@
 		select {
 		case <-until:
 		case <-timer.C:
+			e.logWaiting()
 			return false
 		case <-ctx.Done():
+			e.logWaiting()
 			return false
 		}
 	}
 	return true
 }
 
+// logWaiting says which request keeps its shard from being given up.
+func (e *entry) logWaiting() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	log.WithFields(log.Fields{
+		"shard": e.shard.id, "request": e.id, "state": e.state(), "class": e.saved.Request.Class, "attempt": e.saved.Attempt,
+		"known": e.known, "owners": len(e.owners), "ageMS": time.Since(e.accepted).Milliseconds(),
+	}).Info("ShardNotQuiet")
+}
+
 func (e *entry) isDurable() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/ibisowner/owner_test.go
+++ b/ibisowner/owner_test.go
@@ -325,3 +325,27 @@
 		assert.Assert(t, s.since.After(since))
 	})
 }
+
+func TestServerIsToldTheDeclaredSize(t *testing.T) {
+	told := make(chan ibiswork.Resources, 1)
+	o, _ := newTestOwner(t, &serverFake{start: func(r ibisserver.StartRequest) (ibisserver.Reply, error) {
+		told <- r.Task.Resources
+		return ibisserver.Reply{Clock: 1000}, nil
+	}})
+	do(t, o, func() {
+		claimed(o, 1)
+		for range 100 { // tasks of this kind were seen to use more than declared
+			o.sizes.Observe(testTeam, "", testSize, testSize.Times(3), 1000)
+		}
+	})
+	_, err := o.Place(context.Background(), &ibiswire.PlaceRequest{
+		From:    ibiswire.Holder{Shard: testID(1).Shard(testShards), Epoch: 1},
+		Request: ibiswork.Request{ID: testID(1), Team: testTeam, Class: ibiswork.Interactive, Idempotent: true, Resources: testSize}, Attempt: 1, WaitMS: 5000,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, <-told, testSize)
+	do(t, o, func() {
+		f, _ := o.fleet.Server(testServer)
+		assert.Assert(t, f.Used.MilliCPU > testSize.MilliCPU, "the learned size counts on the server")
+	})
+}
--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -195,7 +195,7 @@
 		req = ibisserver.StartRequest{
 			Epoch: s.epoch,
 			Task: ibisserver.Task{
-				ID: t.id, Team: t.meta.Team, Class: t.meta.Class, Kind: t.kind, Resources: t.size,
+				ID: t.id, Team: t.meta.Team, Class: t.meta.Class, Kind: t.kind, Resources: t.asked(),
 				RunTimeMS: it.req.RunTimeMS, Payload: it.req.Payload, Note: note(t.meta),
 			},
 			StartBy:  s.reading + StartWindow.Milliseconds(),
--- a/ibisowner/task.go
+++ b/ibisowner/task.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// asked is what the server is told that the task needs: the declared size. The learned size must not reach
+// the server, since what a server reports may follow what it was told, and sizes would then grow by
+// themselves.
+func (t *task) asked() ibiswork.Resources {
+	r := t.declared
+	r.Slots = max(r.Slots, 1)
+	return r
+}
+
 // fireLease applies an event to the lease chart of t.
 func (o *Owner) fireLease(t *task, event string) {
 	if !t.hasLease {
