Start each task of a gang at one owner only

Cause: while a gang gathers its places, a reply that was lost made the holder ask another owner for the same index. The first owner kept the place, its next reply counted twice, and its start ran the index a second time, under the same attempt (seen once by the oracle of TestGracefulShutdown: index 2, attempt 1 on two servers). Ruled out: a second attempt (the attempt was the same), the fence (both servers obeyed). Change: an owner gives up the places of indexes that are not asked for any more; the holder leaves each index to one owner; a start names the indexes, and an owner with others starts nothing.

--- a/ibisholder/drive.go
+++ b/ibisholder/drive.go
@@ -350,12 +350,20 @@
 // start lets the owner start what it has reserved.
 func (h *Holder) start(ctx context.Context, e *entry) {
 	e.mu.Lock()
-	req := &ibiswire.StartRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
+	req := ibiswire.StartRequest{From: h.from(e), ID: e.id, Attempt: e.saved.Attempt}
 	owners := e.ownerList()
+	indexes := make(map[string][]int) // by the owner's address
+	for _, p := range e.saved.Places {
+		if m, ok := h.cfg.View().Find(e.owners[p.Index]); ok {
+			indexes[m.Digest.Row.Address] = append(indexes[m.Digest.Row.Address], p.Index)
+		}
+	}
 	e.mu.Unlock()
 	started, notStarted := 0, 0
 	h.each(ctx, owners, startWait, func(ctx context.Context, addr string) {
-		reply, err := ibisrpc.Call[ibiswire.StartReply](ctx, h.cfg.Pool, addr, ibiswire.MethodStart, req)
+		one := req
+		one.Indexes = indexes[addr]
+		reply, err := ibisrpc.Call[ibiswire.StartReply](ctx, h.cfg.Pool, addr, ibiswire.MethodStart, &one)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		switch {
--- a/ibisholder/gang.go
+++ b/ibisholder/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"ibiscrank/ibispeer"
@@ -183,5 +185,21 @@
 		defer e.mu.Unlock()
 		replies[id] = reply.Places
 	})
-	g.held = replies
+	g.held = distinct(replies)
+}
+
+// distinct leaves each index to one owner only. Another that has a place for it too, because a reply of it
+// was lost before, gives that up when it is asked the next time.
+func distinct(held map[string][]ibiswire.Place) map[string][]ibiswire.Place {
+	seen := make(map[int]bool)
+	once := make(map[string][]ibiswire.Place, len(held))
+	for _, id := range slices.Sorted(maps.Keys(held)) {
+		for _, p := range held[id] {
+			if !seen[p.Index] {
+				seen[p.Index] = true
+				once[id] = append(once[id], p)
+			}
+		}
+	}
+	return once
 }
--- a/ibisowner/partial.go
+++ b/ibisowner/partial.go
@@ -14,8 +14,8 @@
 const PartialFor = 5 * time.Second
 
 // attachPartial finds or makes an item whose places are reserved one by one, for a gang that spans
-// several owners. The indexes of the request replace those that were wanted before; places that are
-// already reserved stay.
+// several owners. The indexes of the request replace those that were asked for before: places of other
+// indexes are given up, since another owner may have them by now.
 func (o *Owner) attachPartial(req *ibiswire.PlaceRequest, now time.Time) (*item, error) {
 	it, err := o.known(req)
 	if err != nil {
@@ -32,6 +32,7 @@
 		o.queue.Remove(it.req.ID)
 	}
 	it.indexes, it.keepUntil = req.Indexes, now.Add(PartialFor)
+	o.dropOthers(it)
 	it.wants = it.missing()
 	if len(it.wants) == 0 {
 		o.completed(it)
@@ -46,6 +47,21 @@
 	return it, nil
 }
 
+// dropOthers gives up the places of it whose indexes are not asked for any more.
+func (o *Owner) dropOthers(it *item) {
+	var tasks []*task
+	var places []ibiswire.Place
+	for i, t := range it.tasks {
+		if slices.Contains(it.indexes, t.id.Index) {
+			tasks, places = append(tasks, t), append(places, it.places[i])
+			continue
+		}
+		o.uncount(t)
+		delete(o.tasks, t.id)
+	}
+	it.tasks, it.places = tasks, places
+}
+
 // missing lists the indexes of it that have no place.
 func (it *item) missing() []int {
 	var list []int
--- a/ibisowner/start.go
+++ b/ibisowner/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 		}
 		it = o.items[req.ID]
 		switch {
-		case it == nil || it.attempt != req.Attempt || it.state == waiting:
+		case it == nil || it.attempt != req.Attempt || it.state == waiting || !it.holds(req.Indexes):
 			o.close(req.ID, req.Attempt)
 			reply = &ibiswire.StartReply{NotStarted: true, Error: "no places are reserved"}
 		case it.state == reserved:
@@ -56,6 +57,19 @@
 	return o.startAll(it), nil
 }
 
+// holds reports whether the places of it are those of the indexes, no fewer and no more.
+func (it *item) holds(indexes []int) bool {
+	if len(it.places) != len(indexes) {
+		return false
+	}
+	for _, p := range it.places {
+		if !slices.Contains(indexes, p.Index) {
+			return false
+		}
+	}
+	return true
+}
+
 // close makes sure that no attempt up to attempt is queued or started here from now on.
 func (o *Owner) close(id ibiswork.ID, attempt int) {
 	c := o.closed[id]
--- a/ibiswire/wire.go
+++ b/ibiswire/wire.go
@@ -110,6 +110,7 @@
 	From    Holder      `json:"From"`
 	ID      ibiswork.ID `json:"ID"`
 	Attempt int         `json:"Attempt"`
+	Indexes []int       `json:"Indexes"` // of the tasks that this owner has places for by the holder's account
 }
 
 // StartReply says that every task has been started, or that at least one certainly was not.
