--- a/ibisrpc/pool.go
+++ b/ibisrpc/pool.go
@@ -17,6 +17,7 @@
 const (
 	PingInterval = 300 * time.Millisecond
 	PingTimeout  = 1 * time.Second
+	RecentUse    = 5 * time.Second // a connection without calls is pinged this long after the last one
 	IdleTimeout  = 2 * time.Minute
 )
 
@@ -33,6 +34,7 @@
 	cc       *grpc.ClientConn
 	calls    atomic.Int64
 	lastUsed atomic.Int64 // Unix nanoseconds
+	heard    atomic.Int64 // Unix nanoseconds of the last reply
 	cancel   context.CancelFunc
 }
 
@@ -87,8 +89,9 @@
 	return c, nil
 }
 
-// supervise pings c, also while no call is outstanding on it, so that the next call does not have to find
-// out that it is silent; it drops c when it is silent or long unused.
+// supervise pings c when nothing has been heard on it for a while, also for some time after its last call,
+// so that the next call does not have to find out that it is silent; it drops c when it is silent or long
+// unused. Other calls count as pings, so heartbeats save them.
 func (p *Pool) supervise(ctx context.Context, address string, c *conn) {
 	tick := time.NewTicker(PingInterval)
 	defer tick.Stop()
@@ -98,9 +101,13 @@
 			return
 		case <-tick.C:
 		}
-		if c.calls.Load() == 0 && time.Since(time.Unix(0, c.lastUsed.Load())) > IdleTimeout {
+		unused := time.Since(time.Unix(0, c.lastUsed.Load()))
+		switch {
+		case c.calls.Load() == 0 && unused > IdleTimeout:
 			p.drop(address, c)
 			return
+		case c.calls.Load() == 0 && unused > RecentUse, time.Since(time.Unix(0, c.heard.Load())) < PingInterval:
+			continue
 		}
 		pingCtx, cancel := context.WithTimeout(ctx, PingTimeout)
 		err := c.cc.Invoke(pingCtx, "/"+serviceName+"/Ping", &ping{}, new(envelope[ping]))
--- a/ibisrpc/rpc.go
+++ b/ibisrpc/rpc.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
@@ -90,6 +91,7 @@
 	if err := c.cc.Invoke(ctx, "/"+serviceName+"/"+method, req, env); err != nil {
 		return nil, classify(method, err)
 	}
+	c.heard.Store(time.Now().UnixNano())
 	if env.Refusal != nil {
 		return nil, env.Refusal
 	}
