--- a/ibisholder/holder.go
+++ b/ibisholder/holder.go
@@ -337,9 +337,27 @@
 		return nil, err
 	}
 	h.cancelEntry(e)
+	if err := h.keepCancel(ctx, e); err != nil {
+		return nil, err
+	}
 	return h.await(ctx, e, max(time.Duration(req.WaitMS)*time.Millisecond, cancelWait))
 }
 
+// keepCancel journals that a durable request was cancelled, so that the next holder knows. The refusal of a
+// cancellation that could not be kept promises nothing: it may take effect all the same.
+func (h *Holder) keepCancel(ctx context.Context, e *entry) error {
+	e.mu.Lock()
+	needed := e.saved.Request.Class.Durable() && e.state() != stateEnded && e.state() != stateAccepted
+	e.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	if err := h.save(ctx, e); err != nil {
+		return storeRefusal(err).WithMaybeRun()
+	}
+	return nil
+}
+
 const cancelWait = 1 * time.Second
 
 func (h *Holder) cancelEntry(e *entry) {
--- a/ibisholder/shard_test.go
+++ b/ibisholder/shard_test.go
@@ -117,3 +117,18 @@
 		assert.Equal(t, ibiswork.AsRefusal(err).NotRun, fresh)
 	}
 }
+
+func TestCancelIsKeptBeforeItIsAnswered(t *testing.T) {
+	j := newJournalFake()
+	h := newTestHolder(t, j)
+	r := testRequest(ibiswork.Batch, true)
+	e, _, err := h.shards[0].add(r, true)
+	assert.NilError(t, err)
+	e.fire("Commit")
+	j.let <- ibisjournal.Unavailable.New("the table is away")
+	_, err = h.Cancel(context.Background(), &ibiswire.StatusRequest{ID: r.ID, Team: r.Team})
+	refusal := ibiswork.AsRefusal(err)
+	assert.Equal(t, refusal.Code, ibiswork.CodeStoreUnavailable)
+	assert.Assert(t, !refusal.NotRun)
+	assert.Equal(t, len(j.begun), 1)
+}
