--- a/ibisallot/dead.go
+++ b/ibisallot/dead.go
@@ -55,8 +55,8 @@
 // MoveFrom takes, from the allotments of a dead incarnation or of another holder that Holders names, what
 // is used here beyond the own ones; use that they do not cover is put on record, so that it counts against
 // the limit until it is covered. Call it once Use has counted the tasks of backend servers that were
-// taken over. It is repeated after any error. The flag has no effect.
-func (l *Ledger) MoveFrom(ctx context.Context, dead string, _ bool) error {
+// taken over. It is repeated after any error.
+func (l *Ledger) MoveFrom(ctx context.Context, dead string) error {
 	l.rounds.Lock()
 	defer l.rounds.Unlock()
 	err := over(ctx, l.t, dead)
--- a/ibisallot/ledger_test.go
+++ b/ibisallot/ledger_test.go
@@ -282,5 +282,5 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, holders, f.ids)
 	assert.ErrorContains(t, DropAll(ctx, f.table, taker.fence, "i-0"), "live")
-	assert.ErrorContains(t, taker.MoveFrom(ctx, "i-0", false), "live")
+	assert.ErrorContains(t, taker.MoveFrom(ctx, "i-0"), "live")
 }
--- a/ibisallot/property_test.go
+++ b/ibisallot/property_test.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		for _, id := range w.ids {
-			w.todo = append(w.todo, func() error { return w.ledgers[id].MoveFrom(ctx, h, false) })
+			w.todo = append(w.todo, func() error { return w.ledgers[id].MoveFrom(ctx, h) })
 		}
 		w.todo = append(w.todo, func() error { return DropAll(ctx, w.table, w.ledgers[w.ids[0]].fence, h) })
 	}
--- a/ibisdaemon/clean.go
+++ b/ibisdaemon/clean.go
@@ -119,7 +119,7 @@
 
 // settle moves from a dead incarnation's allotments what is counted here beyond the own ones.
 func (n *node) settle(ctx context.Context, req *ibiswire.SettleRequest) (*ibiswire.SettleReply, error) {
-	if err := n.ledger.MoveFrom(ctx, req.Dead, false); err != nil {
+	if err := n.ledger.MoveFrom(ctx, req.Dead); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	return &ibiswire.SettleReply{}, nil
