--- a/ibisqueue/heaps.go
+++ b/ibisqueue/heaps.go
@@ -1,83 +1,68 @@
 package ibisqueue
 
-// entryHeap orders the items of a group.
-type entryHeap []*entry
+// order compares the elements of a heap, and tells where an element keeps its position in it.
+type order[E any] interface {
+	less(a, b E) bool
+	pos(e E) *int
+}
+
+// indexedHeap is a heap, for container/heap, whose elements know their positions, so that any of them can
+// be moved or removed in O(log n). The position of an element that was taken out is -1.
+type indexedHeap[E any, O order[E]] []E
+
+func (h indexedHeap[E, O]) Len() int { return len(h) }
 
-func (h entryHeap) Len() int           { return len(h) }
-func (h entryHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h entryHeap) Swap(i, j int) {
+func (h indexedHeap[E, O]) Less(i, j int) bool {
+	var o O
+	return o.less(h[i], h[j])
+}
+
+func (h indexedHeap[E, O]) Swap(i, j int) {
+	var o O
 	h[i], h[j] = h[j], h[i]
-	h[i].pos, h[j].pos = i, j
+	*o.pos(h[i]), *o.pos(h[j]) = i, j
 }
 
 // Push is for container/heap.
-func (h *entryHeap) Push(x any) {
-	e := x.(*entry)
-	e.pos = len(*h)
+func (h *indexedHeap[E, O]) Push(x any) {
+	var o O
+	e := x.(E)
+	*o.pos(e) = len(*h)
 	*h = append(*h, e)
 }
 
 // Pop is for container/heap.
-func (h *entryHeap) Pop() any {
+func (h *indexedHeap[E, O]) Pop() any {
+	var o O
+	var none E
 	last := len(*h) - 1
 	e := (*h)[last]
-	(*h)[last] = nil
+	(*h)[last] = none
 	*h = (*h)[:last]
+	*o.pos(e) = -1
 	return e
 }
 
-// groupHeap orders the groups of a level by their heads.
-type groupHeap []*group
+// entryHeap orders the items of a group.
+type entryHeap = indexedHeap[*entry, byTurn]
 
-func (h groupHeap) Len() int           { return len(h) }
-func (h groupHeap) Less(i, j int) bool { return h[i].head().before(h[j].head()) }
-func (h groupHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].pos, h[j].pos = i, j
-}
+type byTurn struct{}
 
-// Push is for container/heap.
-func (h *groupHeap) Push(x any) {
-	g := x.(*group)
-	g.pos = len(*h)
-	*h = append(*h, g)
-}
+func (byTurn) less(a, b *entry) bool { return a.before(b) }
+func (byTurn) pos(e *entry) *int     { return &e.pos }
 
-// Pop is for container/heap.
-func (h *groupHeap) Pop() any {
-	last := len(*h) - 1
-	g := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	g.pos = -1
-	return g
-}
+// groupHeap orders the groups of a level by their heads.
+type groupHeap = indexedHeap[*group, byHead]
 
-// deadlineHeap orders items by their latest start.
-type deadlineHeap []*entry
+type byHead struct{}
 
-func (h deadlineHeap) Len() int { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool {
-	return h[i].item.LatestStart().Before(h[j].item.LatestStart())
-}
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].deadlinePos, h[j].deadlinePos = i, j
-}
+func (byHead) less(a, b *group) bool { return a.head().before(b.head()) }
+func (byHead) pos(g *group) *int     { return &g.pos }
 
-// Push is for container/heap.
-func (h *deadlineHeap) Push(x any) {
-	e := x.(*entry)
-	e.deadlinePos = len(*h)
-	*h = append(*h, e)
-}
+// deadlineHeap orders items by their latest start.
+type deadlineHeap = indexedHeap[*entry, byLatestStart]
 
-// Pop is for container/heap.
-func (h *deadlineHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	e.deadlinePos = -1
-	return e
-}
+type byLatestStart struct{}
+
+func (byLatestStart) less(a, b *entry) bool { return a.item.LatestStart().Before(b.item.LatestStart()) }
+func (byLatestStart) pos(e *entry) *int     { return &e.deadlinePos }
