--- /dev/null
+++ b/ibiscell/caller.go
@@ -0,0 +1,122 @@
+package ibiscell
+
+import (
+	"github.com/apex/log"
+
+	"ibiscrank/ibisjob"
+)
+
+const (
+	tableRetryMS  = 1500 // callers come back after this time while the table cannot be written
+	tableSilentMS = 700  // without a commit that was due: the table counts as away
+)
+
+// Submit takes a job of a caller. The answer follows the commit. A job that is there already is answered
+// by what is known of it.
+func (e *Engine) Submit(now Time, to uint64, spec ibisjob.Job) {
+	e.now = now
+	if _, ok := e.ended[spec.ID]; ok {
+		e.send(Answer{To: to, Outcome: OK})
+		return
+	}
+	if j := e.jobs[spec.ID]; j != nil {
+		e.repeated(j, to)
+		return
+	}
+	if e.tableAway() {
+		e.log.WithFields(log.Fields{"Job": string(spec.ID), "LastCommitMSAgo": now - e.lastCommit}).Info("JobRefusedTableAway")
+		e.send(Answer{To: to, Outcome: Rejected, RetryMS: tableRetryMS})
+		return
+	}
+	spec.AcceptedMS = e.unixOffset + now
+	j := &job{spec: spec, state: ibisjob.Queued, shown: ibisjob.Queued, acceptedAt: now}
+	e.jobs[spec.ID] = j
+	e.touch(j, func() { e.accepted(j, to) })
+	j.dirt.job = true
+}
+
+// repeated answers a submission of a job that is there: at once when it is committed, else with the commit.
+func (e *Engine) repeated(j *job, to uint64) {
+	if j.accepted {
+		e.send(Answer{To: to, Outcome: OK})
+		return
+	}
+	j.dirt.effects = append(j.dirt.effects, func() { e.send(Answer{To: to, Outcome: OK}) })
+}
+
+func (e *Engine) accepted(j *job, to uint64) {
+	j.accepted = true
+	j.log(e).WithFields(log.Fields{"Steps": len(j.spec.Steps), "CommitMS": e.now - j.acceptedAt}).Info("JobAccepted")
+	e.send(Answer{To: to, Outcome: OK})
+	if !j.state.Final() {
+		e.begin(j)
+	}
+}
+
+// begin opens the steps of a job, or waits for its first time.
+func (e *Engine) begin(j *job) {
+	if j.spec.RunsOnce() {
+		j.nextTime = 1
+		e.openSteps(e.newOccurrence(j, 0))
+		return
+	}
+	e.timed = append(e.timed, j)
+}
+
+// startOccurrences begins the occurrences whose time has come.
+func (e *Engine) startOccurrences() {
+	kept := e.timed[:0]
+	for _, j := range e.timed {
+		for !j.state.Final() && j.nextTime < j.spec.Occurrences {
+			due := j.spec.StartAtMS + int64(j.nextTime)*j.spec.IntervalMS
+			if e.unixOffset+e.now < due {
+				break
+			}
+			e.openSteps(e.newOccurrence(j, j.nextTime))
+			j.nextTime++
+			e.touch(j, nil)
+		}
+		if !j.state.Final() && j.nextTime < j.spec.Occurrences {
+			kept = append(kept, j)
+		}
+	}
+	e.timed = kept
+}
+
+// Cancel cancels a job. The answer follows the commit.
+func (e *Engine) Cancel(now Time, to uint64, id ibisjob.ID) {
+	e.now = now
+	if _, ok := e.ended[id]; ok {
+		e.send(Answer{To: to, Outcome: OK})
+		return
+	}
+	j := e.jobs[id]
+	if j == nil {
+		e.send(Answer{To: to, Outcome: NotFound})
+		return
+	}
+	if !j.state.Final() {
+		j.log(e).WithField("AgeMS", now-j.acceptedAt).Info("JobCanceled")
+		e.finish(j, ibisjob.Canceled)
+	}
+	e.touch(j, func() { e.send(Answer{To: to, Outcome: OK}) })
+}
+
+// Status answers with the state of a job as it is committed.
+func (e *Engine) Status(now Time, to uint64, id ibisjob.ID) {
+	e.now = now
+	a := Answer{To: to, Outcome: OK}
+	if end, ok := e.ended[id]; ok {
+		a.State = end.State
+	} else if j := e.jobs[id]; j != nil && j.accepted {
+		a.State = j.shown
+	} else {
+		a.Outcome = NotFound
+	}
+	e.send(a)
+}
+
+// tableAway reports whether commits that were due have not come back for long.
+func (e *Engine) tableAway() bool {
+	return e.journal.failing || e.journal.flying && e.now-e.journal.flyingSince > tableSilentMS
+}
--- /dev/null
+++ b/ibiscell/recover.go
@@ -0,0 +1,122 @@
+package ibiscell
+
+import (
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"ibiscrank/ibisjob"
+)
+
+// Recover builds the cell from the rows of its journal. It must come after SetConfig and SetServers and
+// before any other event. Rows that cannot be read are logged and left alone.
+func (e *Engine) Recover(now Time, jobs, progress, ended []Row) {
+	e.now, e.lastCommit = now, now
+	for _, row := range ended {
+		var end Ended
+		if err := cbor.Unmarshal(row.Value, &end); err != nil {
+			e.unreadable(row, err)
+			continue
+		}
+		e.ended[ibisjob.ID(row.Key)] = end
+	}
+	records := make(map[string]Progress, len(progress))
+	for _, row := range progress {
+		var p Progress
+		if err := cbor.Unmarshal(row.Value, &p); err != nil {
+			e.unreadable(row, err)
+			continue
+		}
+		records[row.Key] = p
+	}
+	for _, row := range jobs {
+		var spec ibisjob.Job
+		err := cbor.Unmarshal(row.Value, &spec)
+		if err == nil {
+			err = spec.Check()
+		}
+		if err != nil {
+			e.unreadable(row, err)
+			continue
+		}
+		p, ok := records[row.Key]
+		e.recoverJob(spec, p, ok)
+	}
+	e.log.WithFields(log.Fields{"Jobs": len(e.jobs), "Ended": len(e.ended), "Epoch": e.set.Epoch}).Info("CellRecovered")
+}
+
+func (e *Engine) unreadable(row Row, err error) {
+	e.log.WithFields(log.Fields{"Table": row.Table, "Key": row.Key}).WithError(err).Error("JournalRowUnreadable")
+}
+
+func (e *Engine) recoverJob(spec ibisjob.Job, p Progress, known bool) {
+	j := &job{spec: spec, state: ibisjob.Queued, accepted: true, acceptedAt: spec.AcceptedMS - e.unixOffset}
+	if p.Started {
+		j.state, j.started = ibisjob.Active, true
+	}
+	j.shown = j.state
+	e.jobs[spec.ID] = j
+	if !known {
+		e.begin(j)
+		return
+	}
+	j.nextTime = p.NextTime
+	for _, rec := range p.Occurrences {
+		occ := e.newOccurrence(j, rec.N)
+		for n := range rec.Steps {
+			if n < len(occ.steps) {
+				e.recoverStep(occ.steps[n], rec.Steps[n], p.Servers)
+			}
+		}
+		for _, st := range occ.steps {
+			if st.left == 0 {
+				occ.left--
+			}
+		}
+		if occ.left == 0 {
+			e.occurrenceDone(occ)
+			continue
+		}
+		e.openSteps(occ)
+	}
+	if !spec.RunsOnce() && j.nextTime < spec.Occurrences {
+		e.timed = append(e.timed, j)
+	}
+}
+
+func (e *Engine) recoverStep(st *step, rec StepRec, servers []ServerRef) {
+	st.fails = rec.Fails
+	if rec.Done {
+		st.left = 0
+		for _, t := range st.tasks {
+			t.done = true
+		}
+		return
+	}
+	for k, tr := range rec.Tasks {
+		if k >= len(st.tasks) {
+			break
+		}
+		t := st.tasks[k]
+		t.done, t.lastRun, t.fails, t.checkpoint = tr.Done, tr.Run, tr.Fails, tr.Checkpoint
+		if t.done {
+			st.left--
+			continue
+		}
+		if tr.Server >= 1 && tr.Server <= len(servers) {
+			e.recoverRun(t, servers[tr.Server-1])
+		}
+	}
+}
+
+// recoverRun takes up a run that a former leader has assigned. The server's lists will show what became of
+// it; if the server is in a later life, it has ended.
+func (e *Engine) recoverRun(t *task, ref ServerRef) {
+	s := e.servers[ref.ID]
+	if s != nil && ref.Born != 0 && s.info.Born > ref.Born {
+		return
+	}
+	if s == nil {
+		s = e.addServer(ServerInfo{Target: Target{ID: ref.ID, Born: ref.Born}})
+	}
+	e.newRun(t, s, t.lastRun, runRecovered)
+}
--- /dev/null
+++ b/ibiscell/world_test.go
@@ -0,0 +1,337 @@
+package ibiscell_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+	"ibiscrank/ibiswork"
+)
+
+// world plays the table, the backend servers and the advice service for an engine, in virtual time.
+type world struct {
+	t        *testing.T
+	e        *ibiscell.Engine
+	now      int64
+	events   []event
+	table    map[string]map[string][]byte
+	servers  map[string]*fakeServer
+	answers  map[uint64]ibiscell.Answer
+	down     bool // the table takes nothing
+	commitMS int64
+	ends     map[string]int // runs that ended done, by task
+	starts   []ibiscell.Start
+	denied   func(step, server string) bool
+	askMS    func(n int) int64
+	endless  bool // tasks may run again after they have ended
+	epoch    int64
+	settings ibiscell.Settings
+	cfg      *ibisjob.Config
+}
+
+type event struct {
+	at int64
+	n  int
+	fn func()
+}
+
+type fakeServer struct {
+	info    ibiscell.ServerInfo
+	runs    map[ibiscell.RunName]int64 // to the time at which it ends
+	ended   []ibiscell.End
+	lastN   int64
+	lease   int64
+	epoch   int64
+	cut     bool
+	mute    bool // orders are carried out and not answered
+	fails   bool // all runs fail
+	stopped map[string]int64
+	waiting func()
+}
+
+var quietLog = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+
+func size(cpu, mem int64) ibiswork.Resources {
+	return ibiswork.Resources{MilliCPU: cpu, MemoryMB: mem}
+}
+
+func newWorld(t *testing.T, servers int) *world {
+	w := &world{
+		t: t, now: 1000, table: map[string]map[string][]byte{}, servers: map[string]*fakeServer{},
+		answers: map[uint64]ibiscell.Answer{}, commitMS: 12, ends: map[string]int{},
+		askMS: func(n int) int64 { return 5 + int64(n)/5 },
+		cfg: &ibisjob.Config{Version: 1, Queues: []ibisjob.Queue{
+			{Name: "quick", Service: "svc", Priority: 0, MaxAttempts: 2, SlackFactor: 1.5, ObjectiveMS: 250},
+			{Name: "wide", Service: "svc", Priority: 1, MaxAttempts: 2, SlackFactor: 2, ObjectiveMS: 1000, Advice: &ibisjob.Advice{DecisionMS: 100, PerServerMS: 2, ValidMS: 1500}},
+			{Name: "bulk", Service: "svc", Priority: 2, MaxAttempts: 4, SlackFactor: 4, ObjectiveMS: 3000},
+		}, Teams: []ibisjob.Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}},
+	}
+	for n := range servers {
+		id := fmt.Sprintf("s%02d", n)
+		w.servers[id] = &fakeServer{
+			info: ibiscell.ServerInfo{Target: ibiscell.Target{ID: id, Address: id, Born: 1}, Service: "svc", Rack: fmt.Sprint("r", n/8), Capacity: size(16000, 65536)},
+			runs: map[ibiscell.RunName]int64{}, stopped: map[string]int64{},
+		}
+	}
+	w.lead()
+	return w
+}
+
+// lead puts a new engine in the place of the last one, which recovers from the table.
+func (w *world) lead() {
+	w.epoch++
+	set := w.settings
+	set.Epoch = w.epoch
+	w.e = ibiscell.New(set, quietLog)
+	w.e.SetUnixTime(w.now, w.now+1_000_000)
+	w.e.SetConfig(w.cfg)
+	w.list()
+	w.e.Recover(w.now, w.rows(ibiscell.TableJobs), w.rows(ibiscell.TableProgress), w.rows(ibiscell.TableEnded))
+	w.e.SetHelpers(w.now, []string{"h1", "h2", "h3"})
+}
+
+func (w *world) rows(table string) (rows []ibiscell.Row) {
+	for k, v := range w.table[table] {
+		rows = append(rows, ibiscell.Row{Table: table, Key: k, Value: v})
+	}
+	return rows
+}
+
+func (w *world) list() {
+	var all []ibiscell.ServerInfo
+	for _, s := range w.servers {
+		all = append(all, s.info)
+	}
+	w.e.SetServers(w.now, all)
+}
+
+func (w *world) after(ms int64, fn func()) {
+	e := w.e
+	w.events = append(w.events, event{at: w.now + ms, n: len(w.events), fn: func() {
+		if w.e == e { // replies to a former leader are lost
+			fn()
+		}
+	}})
+}
+
+// run lets ms milliseconds pass.
+func (w *world) run(ms int64) {
+	for end := w.now + ms; w.now < end; w.now++ {
+		due := slices.Clone(w.events)
+		w.events = slices.DeleteFunc(w.events, func(e event) bool { return e.at <= w.now })
+		for _, e := range due {
+			if e.at <= w.now {
+				e.fn()
+			}
+		}
+		for _, s := range w.servers {
+			s.pass(w)
+		}
+		if w.now%5 == 0 {
+			w.commit()
+			w.e.Tick(w.now)
+		}
+		for _, c := range w.e.Commands() {
+			w.do(c)
+		}
+	}
+}
+
+func (w *world) commit() {
+	if w.down {
+		return
+	}
+	b := w.e.TakeBatch(w.now)
+	if b == nil {
+		return
+	}
+	w.after(w.commitMS, func() {
+		for _, r := range b.Puts {
+			if w.table[r.Table] == nil {
+				w.table[r.Table] = map[string][]byte{}
+			}
+			w.table[r.Table][r.Key] = r.Value
+		}
+		for _, r := range b.Removes {
+			delete(w.table[r.Table], r.Key)
+		}
+		w.e.Committed(w.now, b)
+	})
+}
+
+func (s *fakeServer) end(w *world, name ibiscell.RunName, how ibiscell.How) {
+	delete(s.runs, name)
+	s.stopped[name.Task] = max(s.stopped[name.Task], name.Run)
+	s.lastN++
+	s.ended = append(s.ended, ibiscell.End{N: s.lastN, Name: name, How: how})
+	if how == ibiscell.EndDone {
+		w.ends[name.Task]++
+	}
+	if s.waiting != nil {
+		s.waiting()
+		s.waiting = nil
+	}
+}
+
+func (s *fakeServer) pass(w *world) {
+	for name, until := range s.runs {
+		switch {
+		case w.now > s.lease:
+			s.end(w, name, ibiscell.EndLapsed)
+		case w.now >= until && s.fails:
+			s.end(w, name, ibiscell.EndFailed)
+		case w.now >= until:
+			s.end(w, name, ibiscell.EndDone)
+		}
+	}
+}
+
+// work is how long a task runs in the world: its job's specification holds it in milliseconds.
+func work(spec string) (ms int64) {
+	if _, err := fmt.Sscan(spec, &ms); err != nil {
+		return 100
+	}
+	return ms
+}
+
+func (w *world) do(c ibiscell.Command) {
+	switch c := c.(type) {
+	case ibiscell.Answer:
+		w.answers[c.To] = c
+	case ibiscell.Advise:
+		w.after(w.askMS(len(c.Servers)), func() {
+			var ok []ibiscell.Ticket
+			for _, id := range c.Servers {
+				if w.denied == nil || !w.denied(c.Step, id) {
+					ok = append(ok, ibiscell.Ticket{Server: id, Ticket: "t"})
+				}
+			}
+			w.e.Advised(w.now, c.ID, ok, 1500, true)
+		})
+	case ibiscell.Start:
+		w.starts = append(w.starts, c)
+		w.order(c.Target, func(s *fakeServer) ibiscell.OrderOutcome { return s.start(w, c) },
+			func(o ibiscell.OrderOutcome) { w.e.Started(w.now, c.Target, c.Name, o) })
+	case ibiscell.Stop:
+		w.order(c.Target, func(s *fakeServer) ibiscell.OrderOutcome { return s.stop(w, c) },
+			func(o ibiscell.OrderOutcome) { w.e.Stopped(w.now, c.Target, c.Name, o) })
+	case ibiscell.Hold:
+		w.hold(c)
+	}
+}
+
+func (w *world) order(t ibiscell.Target, act func(*fakeServer) ibiscell.OrderOutcome, reply func(ibiscell.OrderOutcome)) {
+	s := w.servers[t.ID]
+	w.after(1, func() {
+		if s == nil || s.cut {
+			w.after(500, func() { reply(ibiscell.OrderUnknown) })
+			return
+		}
+		if s.info.Born != t.Born {
+			reply(ibiscell.OrderReplaced)
+			return
+		}
+		out := act(s)
+		if s.mute {
+			w.after(500, func() { reply(ibiscell.OrderUnknown) })
+			return
+		}
+		w.after(1, func() { reply(out) })
+	})
+}
+
+func (s *fakeServer) start(w *world, c ibiscell.Start) ibiscell.OrderOutcome {
+	if c.Epoch < s.epoch {
+		return ibiscell.OrderFenced
+	}
+	if _, there := s.runs[c.Name]; there {
+		return ibiscell.OrderDone
+	}
+	if c.Name.Run <= s.stopped[c.Name.Task] {
+		return ibiscell.OrderOld
+	}
+	s.lease = max(s.lease, c.LeaseEndMS)
+	s.runs[c.Name] = w.now + work(c.Spec)
+	assert.Assert(w.t, w.endless || w.ends[c.Name.Task] == 0, "%s runs again after it was done", c.Name.Task)
+	for _, other := range w.servers {
+		for name := range other.runs {
+			assert.Assert(w.t, name.Task != c.Name.Task || other == s && name == c.Name, "%s runs twice", name.Task)
+		}
+	}
+	return ibiscell.OrderDone
+}
+
+func (s *fakeServer) stop(w *world, c ibiscell.Stop) ibiscell.OrderOutcome {
+	if c.Epoch < s.epoch {
+		return ibiscell.OrderFenced
+	}
+	s.stopped[c.Name.Task] = max(s.stopped[c.Name.Task], c.Name.Run)
+	if _, there := s.runs[c.Name]; there {
+		s.end(w, c.Name, ibiscell.EndStopped)
+	}
+	return ibiscell.OrderDone
+}
+
+func (w *world) hold(c ibiscell.Hold) {
+	sent := w.now
+	s := w.servers[c.Target.ID]
+	w.after(1, func() {
+		switch {
+		case s == nil || s.cut:
+			w.after(1500, func() { w.e.HoldFailed(w.now, c.Target, ibiscell.OrderUnknown) })
+			return
+		case s.info.Born != c.Target.Born:
+			w.e.HoldFailed(w.now, c.Target, ibiscell.OrderReplaced)
+			return
+		case c.Epoch < s.epoch:
+			w.e.HoldFailed(w.now, c.Target, ibiscell.OrderFenced)
+			return
+		}
+		s.epoch = c.Epoch
+		s.lease = max(s.lease, c.LeaseEndMS)
+		s.ended = slices.DeleteFunc(s.ended, func(e ibiscell.End) bool { return e.N <= c.Acked })
+		answered := false
+		reply := func() {
+			if answered || s.cut {
+				return
+			}
+			answered = true
+			r := ibiscell.Report{Target: s.info.Target, SentAt: sent, ClockMS: w.now, Ended: slices.Clone(s.ended)}
+			for name := range s.runs {
+				r.Running = append(r.Running, ibiscell.Listed{Name: name})
+			}
+			w.e.Held(w.now, r)
+		}
+		if len(s.ended) > 0 || c.WaitMS == 0 {
+			reply()
+			return
+		}
+		s.waiting = func() { w.after(1, reply) }
+		w.after(c.WaitMS, reply)
+	})
+}
+
+func (w *world) submit(to uint64, j ibisjob.Job) {
+	if j.Team == "" {
+		j.Team = "a"
+	}
+	assert.NilError(w.t, j.Check())
+	w.e.Submit(w.now, to, j)
+}
+
+func (w *world) state(id ibisjob.ID) ibisjob.State {
+	const asker = 1 << 40
+	w.e.Status(w.now, asker, id)
+	for _, c := range w.e.Commands() {
+		w.do(c)
+	}
+	return w.answers[asker].State
+}
+
+func jobID(n int) ibisjob.ID { return ibisjob.ID(fmt.Sprintf("%016x", n)) }
