--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -6,6 +6,7 @@
 // cli is every command of the program; each runs itself.
 type cli struct {
 	Serve         serveCmd         `cmd:"" help:"Run the daemon of one entry VM."`
+	Platform      platformCmd      `cmd:"" help:"Run the daemon of one entry VM on the platform."`
 	Check         checkCmd         `cmd:"" help:"Check a settings file without starting anything."`
 	Submit        submitCmd        `cmd:"" help:"Submit a request."`
 	Status        statusCmd        `cmd:"" help:"Show how far a request has come."`
--- a/ibiscell/command.go
+++ b/ibiscell/command.go
@@ -82,16 +82,17 @@
 
 // The outcomes of orders.
 const (
-	OrderDone     OrderOutcome = "Done"
-	OrderFenced   OrderOutcome = "Fenced"   // the server obeys a newer leader
-	OrderOld      OrderOutcome = "Old"      // that run, or a later one, has ended or been stopped there
-	OrderLate     OrderOutcome = "Late"     // the lease end has passed on the server's clock
-	OrderNoRoom   OrderOutcome = "NoRoom"   // the server guards its capacity and the task does not fit
-	OrderTicket   OrderOutcome = "Ticket"   // the ticket is missing or no longer valid
-	OrderInvalid  OrderOutcome = "Invalid"  // the server cannot read the order
-	OrderBusy     OrderOutcome = "Busy"     // nothing was done; the server is unhealthy
-	OrderReplaced OrderOutcome = "Replaced" // another life of the server answers at that address
-	OrderUnknown  OrderOutcome = "Unknown"  // no reply: the order may be carried out, also later
+	OrderDone      OrderOutcome = "Done"
+	OrderFenced    OrderOutcome = "Fenced"    // the server obeys a newer leader
+	OrderOld       OrderOutcome = "Old"       // that run, or a later one, has ended or been stopped there
+	OrderLate      OrderOutcome = "Late"      // the lease end has passed on the server's clock
+	OrderNoRoom    OrderOutcome = "NoRoom"    // the server guards its capacity and the task does not fit
+	OrderTicket    OrderOutcome = "Ticket"    // the ticket is missing or no longer valid
+	OrderInvalid   OrderOutcome = "Invalid"   // the server cannot read the order
+	OrderBusy      OrderOutcome = "Busy"      // nothing was done; the server is unhealthy
+	OrderUnreached OrderOutcome = "Unreached" // no connection was got: nothing was done
+	OrderReplaced  OrderOutcome = "Replaced"  // another life of the server answers at that address
+	OrderUnknown   OrderOutcome = "Unknown"   // no reply: the order may be carried out, also later
 )
 
 // Listed is a run that a backend server lists as running.
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -273,7 +273,7 @@
 		e.send(Deposed{Epoch: e.set.Epoch})
 	case OrderReplaced:
 		e.endRun(r, EndLost, "")
-	case OrderOld, OrderInvalid, OrderNoRoom, OrderTicket, OrderLate, OrderBusy:
+	case OrderOld, OrderInvalid, OrderNoRoom, OrderTicket, OrderLate, OrderBusy, OrderUnreached:
 		e.startRefused(r, how, unknownBefore)
 	default:
 		e.retryAfter(r, orderPause(r.tries))
@@ -285,7 +285,7 @@
 func (e *Engine) startRefused(r *run, how OrderOutcome, unknownBefore bool) {
 	s := r.server
 	switch how {
-	case OrderNoRoom, OrderBusy:
+	case OrderNoRoom, OrderBusy, OrderUnreached:
 		s.asideUntil = max(s.asideUntil, e.now+roomPauseMS)
 	case OrderTicket:
 		r.task.step.advised.forgetTicket(s.info.ID)
--- /dev/null
+++ b/ibisrpc/stream.go
@@ -0,0 +1,65 @@
+package ibisrpc
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const linkService = "ibiscrank.Link"
+
+const linkMethod = "/" + linkService + "/Open"
+
+// Stream carries messages of one type both ways. Send and Recv may each be used by one goroutine at a time.
+type Stream[M any] struct {
+	s interface {
+		SendMsg(any) error
+		RecvMsg(any) error
+	}
+}
+
+// Send sends m; it blocks while the peer does not read.
+func (s Stream[M]) Send(m *M) error { return Error.Wrap(s.s.SendMsg(m)) }
+
+// Recv waits for the next message.
+func (s Stream[M]) Recv() (*M, error) {
+	m := new(M)
+	if err := s.s.RecvMsg(m); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return m, nil
+}
+
+// NewLinkServer serves streams; each lasts until serve returns.
+func NewLinkServer[M any](serve func(ctx context.Context, s Stream[M]) error) *grpc.Server {
+	srv := grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
+	srv.RegisterService(&grpc.ServiceDesc{ServiceName: linkService, HandlerType: (*any)(nil), Streams: []grpc.StreamDesc{{
+		StreamName: "Open", ServerStreams: true, ClientStreams: true,
+		Handler: func(_ any, s grpc.ServerStream) error { return serve(s.Context(), Stream[M]{s}) },
+	}}}, struct{}{})
+	return srv
+}
+
+// OpenLink opens a stream to the daemon at address. The second result closes it.
+func OpenLink[M any](ctx context.Context, address string, timeout time.Duration) (Stream[M], func(), error) {
+	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: timeout}),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+	)
+	if err != nil {
+		return Stream[M]{}, nil, Error.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	shut := func() { cancel(); cc.Close() }
+	opening := time.AfterFunc(timeout, cancel)
+	s, err := cc.NewStream(ctx, &grpc.StreamDesc{StreamName: "Open", ServerStreams: true, ClientStreams: true}, linkMethod)
+	if err != nil || !opening.Stop() {
+		shut()
+		return Stream[M]{}, nil, Unknown.New("open link to %s: %v", address, err)
+	}
+	return Stream[M]{s}, shut, nil
+}
