--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -166,6 +166,7 @@
 	}
 	defer shut()
 	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), pongAt: n.clock.Now()}
+	f.news.At = f.pongAt // until the first pong, the leader is taken to be well
 	f.out.put(&frame{Hello: &hello{Name: n.set.Name, Epoch: leader.Epoch}, Ping: f.ping()})
 	frames, broken := make(chan *frame), make(chan error, 1)
 	go func() {
