Order calls for advice by what they hold up; refuse a team beyond its share while the cell is full

Ruled out: room (half was free at the end). While more than 1.2 s of work waits, a team above its rate is refused at once with a time to come back.

--- a/ibiscell/advice.go
+++ b/ibiscell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/apex/log"
@@ -12,8 +13,10 @@
 	askPauseMS       = 250  // between calls for one step that is short of approved servers
 	askFailedPauseMS = 120  // after a call that failed
 	askSlackMS       = 1500 // beyond its expected time, after which a call counts as failed
-	longCallMS       = 200  // calls above it may not take the last free helpers
-	helpersKeptFree  = 2    // for short calls
+	longCallMS       = 200  // calls above it leave helpers to the shorter ones
+	shortLoadMS      = 1000 // time constant of the average of the work of short calls
+	shortReserve     = 2    // times their average work, in helpers, is kept for short calls
+	callsAtHelper    = 2    // one is under way, the next waits at the service
 	maxAskedServers  = 100  // the platform's bound for one call
 	approvalStart    = 0.5  // expected part of approved servers before anything is known
 	approvalWeight   = 0.1  // of one call in the moving average
@@ -74,6 +77,7 @@
 	step     *step
 	servers  []string
 	reserved []*run // keep room while their tickets are asked for
+	late     bool
 	priority int
 	callMS   int64
 	helper   string
@@ -83,19 +87,35 @@
 // helpers are the daemons that may call the advice service. It takes one call at a time of each VM.
 type helpers struct {
 	names    []string
-	busy     map[string]int64 // the call that each is at
+	busy     map[string][]*ask // the calls that each is at
 	queue    []*ask
 	approved map[string]float64 // part of the named servers that is approved, by queue
+	shortMS  float64            // work of short calls in the last while
+	shortAt  Time
+}
+
+// long reports whether a is so long that it must not keep short calls waiting.
+func (a *ask) long() bool { return a.callMS > longCallMS }
+
+// noteShort adds ms to the average work of short calls.
+func (h *helpers) noteShort(now Time, ms int64) {
+	h.shortMS = h.shortMS*math.Exp(-float64(now-h.shortAt)/shortLoadMS) + float64(ms)
+	h.shortAt = now
+}
+
+// spared is how many helpers are kept from long calls.
+func (h *helpers) spared(now Time) int {
+	h.noteShort(now, 0)
+	return min(int(math.Ceil(shortReserve*h.shortMS/shortLoadMS)), len(h.names)-1)
 }
 
 // SetHelpers names the daemons that may call the advice service.
 func (e *Engine) SetHelpers(now Time, names []string) {
 	e.now = now
 	e.helpers.names = slices.Clone(names)
-	for name, id := range e.helpers.busy {
+	for name, calls := range e.helpers.busy {
 		if !slices.Contains(names, name) {
-			delete(e.helpers.busy, name)
-			if a := e.asks[id]; a != nil {
+			for _, a := range slices.Clone(calls) {
 				e.askFailed(a, "HelperLost")
 			}
 		}
@@ -107,7 +127,7 @@
 	q := e.queues[st.occ.job.spec.Queue]
 	e.lastAsk++
 	a := &ask{
-		id: e.lastAsk, step: st, servers: servers, reserved: reserved, priority: q.Priority,
+		id: e.lastAsk, step: st, servers: servers, reserved: reserved, priority: q.Priority, late: e.now > e.objectiveEnd(st.occ),
 		callMS: q.Advice.CallMS(len(servers)), sentAt: e.now,
 	}
 	st.advised.asking++
@@ -115,45 +135,70 @@
 	e.helpers.queue = append(e.helpers.queue, a)
 }
 
-// dispatchAdvice gives waiting calls to free helpers, the most urgent first. Long calls leave some helpers
-// to the short ones.
+// dispatchAdvice gives waiting calls to helpers. Calls that keep room go first, then those of work that can
+// still be in time, then the most urgent. Long calls leave some helpers to the short ones, which do not wait
+// behind them.
 func (e *Engine) dispatchAdvice() {
 	if len(e.helpers.queue) == 0 {
 		return
 	}
 	if e.helpers.busy == nil {
-		e.helpers.busy = make(map[string]int64)
-	}
-	slices.SortStableFunc(e.helpers.queue, func(a, b *ask) int { return cmp.Compare(a.priority, b.priority) })
-	var free []string
-	for _, name := range e.helpers.names {
-		if _, ok := e.helpers.busy[name]; !ok {
-			free = append(free, name)
-		}
+		e.helpers.busy = make(map[string][]*ask)
 	}
+	slices.SortStableFunc(e.helpers.queue, func(a, b *ask) int {
+		return cmp.Or(-compareBool(len(a.reserved) > 0, len(b.reserved) > 0), compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority))
+	})
+	spared := e.helpers.spared(e.now)
 	kept := e.helpers.queue[:0]
 	for _, a := range e.helpers.queue {
-		spared := 0
-		if a.callMS > longCallMS {
-			spared = min(helpersKeptFree, len(e.helpers.names)-1)
-		}
 		if a.step.occ.job.state.Final() {
 			e.askDropped(a)
 			continue
 		}
-		if len(free) <= spared {
+		if a.helper = e.helpers.free(a, spared); a.helper == "" {
 			kept = append(kept, a)
 			continue
 		}
-		a.helper, free = free[0], free[1:]
+		if !a.long() {
+			e.helpers.noteShort(e.now, a.callMS)
+		}
 		a.sentAt = e.now
-		e.helpers.busy[a.helper] = a.id
+		e.helpers.busy[a.helper] = append(e.helpers.busy[a.helper], a)
 		e.asks[a.id] = a
 		e.send(Advise{ID: a.id, Helper: a.helper, Step: a.step.name, Servers: a.servers})
 	}
 	e.helpers.queue = kept
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// free chooses the helper for a, or none. A long call takes an idle helper while enough others are left; a
+// short one may also wait behind another short one.
+func (h *helpers) free(a *ask, spared int) string {
+	best, least, idle := "", callsAtHelper, 0
+	for _, name := range h.names {
+		calls := h.busy[name]
+		if len(calls) == 0 {
+			idle++
+		}
+		if len(calls) < least && !slices.ContainsFunc(calls, (*ask).long) {
+			best, least = name, len(calls)
+		}
+	}
+	if a.long() && (least > 0 || idle <= spared) {
+		return ""
+	}
+	return best
+}
+
 func (e *Engine) askDropped(a *ask) {
 	a.step.advised.asking--
 	for _, r := range a.reserved {
@@ -258,16 +303,14 @@
 
 func (e *Engine) askEnded(a *ask) {
 	delete(e.asks, a.id)
-	if e.helpers.busy[a.helper] == a.id {
-		delete(e.helpers.busy, a.helper)
-	}
+	e.helpers.busy[a.helper] = slices.DeleteFunc(e.helpers.busy[a.helper], func(b *ask) bool { return a == b })
 	a.step.advised.asking--
 }
 
 // expireAsks gives up calls that have taken far longer than the service takes.
 func (e *Engine) expireAsks() {
 	for _, a := range e.asks {
-		if e.now-a.sentAt > a.callMS+askSlackMS {
+		if e.now-a.sentAt > callsAtHelper*a.callMS+askSlackMS {
 			e.askFailed(a, "Late")
 		}
 	}
--- a/ibiscell/caller.go
+++ b/ibiscell/caller.go
@@ -9,6 +9,9 @@
 const (
 	tableRetryMS  = 1500 // callers come back after this time while the table cannot be written
 	tableSilentMS = 700  // without a commit that was due: the table counts as away
+	allowanceS    = 2    // seconds of a team's rate that it may submit at once
+	fullBacklogMS = 1200 // of waiting work: about the slack of the most urgent jobs
+	fullRetryMS   = 2000
 )
 
 // Submit takes a job of a caller. The answer follows the commit. A job that is there already is answered
@@ -28,6 +31,11 @@
 		e.send(Answer{To: to, Outcome: Rejected, RetryMS: tableRetryMS})
 		return
 	}
+	if retry, full := e.beyondShare(spec.Team); full {
+		e.log.WithFields(log.Fields{"Job": string(spec.ID), "Team": spec.Team, "BacklogMS": e.backlogMS}).Info("JobRefusedBeyondShare")
+		e.send(Answer{To: to, Outcome: Rejected, RetryMS: retry})
+		return
+	}
 	spec.AcceptedMS = e.unixOffset + now
 	j := &job{spec: spec, state: ibisjob.Queued, shown: ibisjob.Queued, acceptedAt: now}
 	e.jobs[spec.ID] = j
@@ -35,6 +43,26 @@
 	j.dirt.job = true
 }
 
+// beyondShare reports whether the cell is so full that a team may not submit more than its weight in jobs a
+// second, and this one does. It counts the job against the team's allowance.
+func (e *Engine) beyondShare(name string) (retryMS int64, full bool) {
+	t := e.team(name)
+	most := max(t.weight*allowanceS, 1)
+	t.allowance = min(t.allowance+t.weight*float64(e.now-t.allowanceAt)/1000, most)
+	if t.allowanceAt == 0 {
+		t.allowance = most
+	}
+	t.allowanceAt = e.now
+	if t.allowance < 1 {
+		if e.backlogMS > fullBacklogMS {
+			return fullRetryMS, true
+		}
+		return 0, false
+	}
+	t.allowance--
+	return 0, false
+}
+
 // repeated answers a submission of a job that is there: at once when it is committed, else with the commit.
 func (e *Engine) repeated(j *job, to uint64) {
 	if j.accepted {
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -88,6 +88,7 @@
 	ready     []*step // steps with tasks that wait for a place
 	timed     []*job  // jobs with occurrences that are still to come
 	replace   bool    // something has changed that a placement could use
+	backlogMS int64   // time that the usable servers need for the work that waits, at the last placement
 	nextPlace Time
 
 	journal journal
@@ -107,6 +108,9 @@
 	weight float64
 	limit  ibiswork.Resources
 	used   ibiswork.Resources
+
+	allowance   float64 // jobs that it may still submit while the cell is full
+	allowanceAt Time
 }
 
 // New makes an engine without jobs or backend servers.
--- a/ibiscell/place.go
+++ b/ibiscell/place.go
@@ -30,6 +30,7 @@
 	e.replace, e.nextPlace = false, e.now+placeEveryMS
 	e.ready = slices.DeleteFunc(e.ready, func(st *step) bool { return st.left == 0 || st.occ.job.state.Final() })
 	if len(e.ready) == 0 {
+		e.backlogMS = 0
 		return
 	}
 	p := &pass{servers: e.sortedServers()}
@@ -39,6 +40,28 @@
 	for _, st := range e.ranked(p) {
 		e.placeStep(p, st)
 	}
+	e.measureBacklog(p)
+}
+
+// measureBacklog sums up the work that waits after a placement.
+func (e *Engine) measureBacklog(p *pass) {
+	var capacity, work int64
+	for _, s := range p.servers {
+		if e.usable(s) {
+			capacity += s.info.Capacity.MilliCPU
+		}
+	}
+	for _, st := range e.ready {
+		if st.spec.LongRunning {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.waiting() {
+				work += st.spec.Size.MilliCPU * max(st.spec.EstimateMS, 1)
+			}
+		}
+	}
+	e.backlogMS = work / max(capacity, 1)
 }
 
 // rankedStep is a ready step with what its rank goes by.
@@ -314,6 +337,22 @@
 	if len(list) == 0 {
 		return
 	}
+	if st.spec.Gang && len(e.helpers.queue) > 0 {
+		// While calls wait, a gang asks when it would fit if all were approved; its tickets are used then.
+		room := 0
+		for _, c := range list {
+			room += c.slots
+		}
+		for n := range st.advised.known {
+			if ap := &st.advised.known[n]; ap.ok && e.servers[ap.server] != nil {
+				s := e.servers[ap.server]
+				room += slotsFor(s.info.Capacity.Sub(s.used), st.spec)
+			}
+		}
+		if room < tasks {
+			return
+		}
+	}
 	shift := hash(st.name) % len(list)
 	list = append(list[shift:], list[:shift]...) // equal servers are not all asked about by all steps
 	slices.SortStableFunc(list, func(a, b choice) int { return cmp.Compare(min(b.slots, tasks), min(a.slots, tasks)) })
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -297,8 +297,11 @@
 		if t.ctx.Err() != nil {
 			return Error.Wrap(t.ctx.Err())
 		}
+		if try > 0 { // a reset answers at once; a lost reply has taken its time already
+			t.n.sleep(t.ctx, commitPause)
+		}
 		if time.Since(began) > failingAfter {
-			t.log.WithFields(log.Fields{"Try": try, "ForMS": time.Since(began).Milliseconds()}).WithError(err).Warn("CommitFailing")
+			t.n.lost("Commit", err)
 			t.event(func(e *ibiscell.Engine) { e.CommitFailing(t.n.clock.Now()) })
 		}
 	}
@@ -328,6 +331,7 @@
 }
 
 func (t *term) committed(b *ibiscell.Batch, began time.Time) error {
+	t.n.regained("Commit")
 	now := t.n.clock.Now()
 	t.commitAt.Store(now)
 	metrics.GetOrRegisterTimer("CommitTime", t.n.registry).UpdateSince(began)
