Let leases end on backend servers that do not answer

Ruled out: the list (the servers had left it), placement (half the room was free). Change: after a hold without an answer, further ones only look. A reborn server is held at once, and not lost from the list for a round. Tests fail first: TestTasksOfALostServerStartElsewhereOnceItsLeasesEnded, TestServerRebornLosesItsTasksAtOnce.

--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -198,7 +198,10 @@
 }
 
 func (e *Engine) sendStart(r *run) {
-	end := e.leaseEnd(r.server)
+	end := int64(0)
+	if !r.server.missed {
+		end = e.leaseEnd(r.server)
+	}
 	if end == 0 {
 		e.retryAfter(r, orderRetryMS)
 		return
--- /dev/null
+++ b/ibiscell/load_test.go
@@ -0,0 +1,210 @@
+package ibiscell_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+)
+
+// fill keeps every server busy with work of team, and more of it waiting.
+func (w *world) fill(team string, from, jobs int) {
+	for n := range jobs {
+		w.submit(uint64(from+n), ibisjob.Job{ID: jobID(from + n), Queue: "bulk", Team: team, Spec: "4000", Steps: steps(ibisjob.Step{Tasks: 8, Size: size(8000, 100), EstimateMS: 4000})})
+	}
+	w.run(120)
+}
+
+func TestHotTeamIsRefusedBeyondItsShareWhileFull(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	w.fill("b", 1000, 1)
+	refused := map[string]int{}
+	for n := range 40 {
+		for team, base := range map[string]int{"a": 2000, "b": 3000} {
+			if team == "a" && n%20 > 0 {
+				continue // one job a second, its weight
+			}
+			to := uint64(base + n)
+			w.submit(to, ibisjob.Job{ID: jobID(base + n), Queue: "quick", Team: team, Spec: "500", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1), EstimateMS: 500})})
+			w.run(20)
+			if w.answers[to].Outcome == ibiscell.Rejected {
+				refused[team]++
+				assert.Assert(t, w.answers[to].RetryMS > 0)
+			}
+		}
+		w.run(30)
+	}
+	assert.Equal(t, refused["a"], 0)
+	assert.Assert(t, refused["b"] > 20, "%d refused", refused["b"])
+	for n := range 40 { // a refusal is true: what was refused never starts
+		if w.answers[uint64(3000+n)].Outcome == ibiscell.Rejected {
+			for _, s := range w.starts {
+				assert.Assert(t, s.Name.Task[:16] != string(jobID(3000+n)))
+			}
+		}
+	}
+}
+
+func TestIdleCellTakesWhatATeamSendsBeyondItsShare(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	for n := range 50 {
+		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "quick", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1), EstimateMS: 20})})
+		w.run(40)
+		assert.Equal(t, w.answers[uint64(n)].Outcome, ibiscell.OK)
+	}
+}
+
+// askOrder collects the steps in the order in which their calls for advice were sent.
+func askOrder(w *world, ms int64) (order []string) {
+	ask := w.askMS
+	w.askMS = func(n int) int64 { return 300 + ask(n) }
+	w.onAdvise = func(c ibiscell.Advise) { order = append(order, c.Step[:16]) }
+	w.run(ms)
+	return order
+}
+
+func TestUrgentCallsForAdviceGoFirst(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.cfg.Queues[0].Advice = &ibisjob.Advice{DecisionMS: 5, PerServerMS: 0.1, ValidMS: 1500}
+	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
+	w.e.SetConfig(w.cfg)
+	for n := range 20 {
+		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "wide", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
+	}
+	w.run(60)
+	w.submit(99, ibisjob.Job{ID: jobID(99), Queue: "quick", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
+	order := askOrder(w, 200)
+	assert.Assert(t, len(order) > 0)
+	assert.Equal(t, order[0], string(jobID(99)))
+}
+
+func TestAllHelpersTakeLongCallsWhileThereAreNoShortOnes(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.cfg.Queues[1].Advice = &ibisjob.Advice{DecisionMS: 400, PerServerMS: 1, ValidMS: 1500}
+	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
+	w.e.SetConfig(w.cfg)
+	for n := range 6 {
+		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "wide", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
+	}
+	order := askOrder(w, 100)
+	assert.Equal(t, len(order), 3, "three helpers are there")
+}
+
+func TestGangIsRefusedByOneServerAndStartsAgainAsAWhole(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.servers["s03"].refuse = ibiscell.OrderTicket
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "wide", Spec: "400", Steps: steps(ibisjob.Step{Tasks: 12, Size: size(4500, 17000), Gang: true, EstimateMS: 400})})
+	w.run(400)
+	w.servers["s03"].refuse = ""
+	w.run(3000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	for name, n := range w.ends {
+		assert.Assert(t, n <= 1, name)
+	}
+}
+
+func TestServerRebornLosesItsTasksAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "1500", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(15000, 10), EstimateMS: 1500})})
+	w.run(300)
+	old := w.servers["s00"]
+	fresh := *old
+	fresh.info.Born, fresh.epoch, fresh.lease, fresh.lastN, fresh.ended = 2, 0, 0, 0, nil
+	fresh.runs, fresh.stopped = map[ibiscell.RunName]int64{}, map[string]int64{}
+	w.servers["s00"] = &fresh
+	w.list()
+	w.run(2500)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	assert.Equal(t, len(w.starts), 3)
+}
+
+func TestLeavingServerGetsNoNewTasks(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	w.servers["s00"].info.Leaving = true
+	w.list()
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "100", Steps: steps(ibisjob.Step{Tasks: 20, Size: size(4000, 10), EstimateMS: 100})})
+	w.run(2000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	for _, s := range w.starts {
+		assert.Equal(t, s.Target.ID, "s01")
+	}
+}
+
+func TestTasksOfOneStepKeepApart(t *testing.T) {
+	w := newWorld(t, 3)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "300", Steps: steps(ibisjob.Step{Tasks: 6, Size: size(100, 10), MaxPerServer: 1})})
+	for range 100 {
+		w.run(10)
+		for _, s := range w.servers {
+			assert.Assert(t, len(s.runs) <= 1)
+		}
+	}
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
+
+func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	job := ibisjob.Job{ID: jobID(1), Queue: "quick", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 10)})}
+	w.submit(1, job)
+	w.submit(2, job)
+	w.run(300)
+	w.submit(3, job)
+	w.run(10)
+	for to := uint64(1); to <= 3; to++ {
+		assert.Equal(t, w.answers[to].Outcome, ibiscell.OK)
+	}
+	assert.Equal(t, len(w.starts), 1)
+}
+
+func TestUnknownRunsAreStopped(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(20)
+	name := ibiscell.RunName{Task: string(jobID(77)) + ".0.0.0", Run: 3}
+	w.servers["s00"].runs[name] = w.now + 60_000
+	w.run(1500)
+	assert.Equal(t, len(w.servers["s00"].runs), 0)
+}
+
+func BenchmarkPlaceFullFleet(b *testing.B) {
+	w := newWorld(b, 350)
+	w.run(100)
+	for n := range 500 {
+		w.e.Submit(w.now, uint64(n), ibisjob.Job{ID: jobID(n), Queue: "bulk", Team: "a", Spec: "100000", Steps: steps(ibisjob.Step{Tasks: 25, Size: size(3500, 13000), EstimateMS: 2000})})
+	}
+	w.run(200)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.e.SetHelpers(w.now, []string{"h1"})
+		w.now += 200
+		w.e.Tick(w.now)
+		w.e.Commands()
+	}
+}
+
+func TestTasksOfALostServerStartElsewhereOnceItsLeasesEnded(t *testing.T) {
+	for name, lose := range map[string]func(w *world){
+		"silent":            func(w *world) { w.servers["s00"].cut = true },
+		"gone and unlisted": func(w *world) { delete(w.servers, "s00"); w.list() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.run(12_000) // leases of a former leader have ended
+			w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "8000", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(15000, 10), EstimateMS: 8000})})
+			w.run(300)
+			lose(w)
+			w.run(16_000) // a lease of 6 s, a hold before it, and the work
+			assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+		})
+	}
+}
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -50,6 +50,7 @@
 	horizon    Time // all leases on this life have certainly ended
 	heardAt    Time
 	holding    bool
+	missed     bool // the last hold had no answer: leases must be able to end, so none are renewed
 	holdAt     Time // when the last hold was sent
 	nextHold   Time
 	holdPause  int64
@@ -97,6 +98,7 @@
 		return // the list lags behind what the server itself has said
 	case info.Born != s.info.Born && s.info.Born != 0:
 		e.reborn(s, info)
+		s = e.servers[info.ID]
 	case s.info.Born == 0:
 		s.info.Born = info.Born
 	}
@@ -125,9 +127,7 @@
 func (e *Engine) reborn(s *server, info ServerInfo) {
 	e.serverLog(s).WithFields(log.Fields{"NewBorn": info.Born, "Runs": len(s.runs)}).Info("ServerReborn")
 	e.loseRuns(s, EndLost)
-	fresh := e.addServer(info)
-	fresh.holding, fresh.nextHold = s.holding, e.now
-	fresh.failRow, fresh.asideUntil, fresh.asidePause = 0, 0, 0
+	e.addServer(info) // a hold that is under way at the earlier life says nothing of this one
 }
 
 // loseRuns ends every run of s that its lists do not show any more.
@@ -154,8 +154,7 @@
 
 // usable reports whether new tasks may be placed on s.
 func (e *Engine) usable(s *server) bool {
-	return s.listed && !s.info.Leaving && s.reached && s.foreign == 0 && e.now >= s.asideUntil &&
-		e.now-s.heardAt < e.set.HoldWaitMS+staleServerMS
+	return s.listed && !s.info.Leaving && s.reached && s.foreign == 0 && e.now >= s.asideUntil && e.heard(s)
 }
 
 // watch sends the holds of s when they are due and lets its leases lapse.
@@ -179,13 +178,16 @@
 func (e *Engine) hold(s *server) {
 	s.holding, s.holdAt = true, e.now
 	h := Hold{Target: s.info.Target, Epoch: e.set.Epoch, Acked: s.ackedEnd}
-	if s.reached {
+	if s.reached && !s.missed {
 		h.WaitMS = e.set.HoldWaitMS
 		h.LeaseEndMS = e.leaseEnd(s)
 	}
 	e.send(h)
 }
 
+// heard reports whether s has answered lately.
+func (e *Engine) heard(s *server) bool { return e.now-s.heardAt < e.set.HoldWaitMS+staleServerMS }
+
 // leaseEnd is the end of a lease from now on in the clock of s, or 0 when this leader may no longer grant any.
 func (e *Engine) leaseEnd(s *server) int64 {
 	if !s.reached || e.now-e.lastCommit > e.set.AuthorityMS {
@@ -200,14 +202,11 @@
 func (e *Engine) Held(now Time, r Report) {
 	e.now = now
 	s := e.servers[r.Target.ID]
-	if s == nil {
+	if s == nil || r.Target.Born != 0 && r.Target.Born < s.info.Born {
 		return
 	}
 	s.holding = false
 	if r.Target.Born != 0 && s.info.Born != 0 && r.Target.Born != s.info.Born {
-		if r.Target.Born < s.info.Born {
-			return
-		}
 		info := s.info
 		info.Born = r.Target.Born
 		e.reborn(s, info)
@@ -216,7 +215,7 @@
 	if !s.reached {
 		e.claimed(s)
 	}
-	s.heardAt, s.holdPause = now, holdRetryMS
+	s.heardAt, s.holdPause, s.missed = now, holdRetryMS, false
 	s.clockMS, s.clockAt = r.ClockMS, now
 	e.takeEnds(s, r.Ended)
 	e.takeRunning(s, r)
@@ -244,7 +243,7 @@
 	if s == nil || s.info.Born != t.Born {
 		return
 	}
-	s.holding = false
+	s.holding, s.missed = false, true
 	if how == OrderFenced {
 		e.send(Deposed{Epoch: e.set.Epoch})
 	}
--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -16,7 +16,7 @@
 
 // world plays the table, the backend servers and the advice service for an engine, in virtual time.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	e        *ibiscell.Engine
 	now      int64
 	events   []event
@@ -29,6 +29,7 @@
 	starts   []ibiscell.Start
 	denied   func(step, server string) bool
 	askMS    func(n int) int64
+	onAdvise func(ibiscell.Advise)
 	endless  bool // tasks may run again after they have ended
 	epoch    int64
 	settings ibiscell.Settings
@@ -49,8 +50,9 @@
 	lease   int64
 	epoch   int64
 	cut     bool
-	mute    bool // orders are carried out and not answered
-	fails   bool // all runs fail
+	mute    bool                  // orders are carried out and not answered
+	fails   bool                  // all runs fail
+	refuse  ibiscell.OrderOutcome // of starts
 	stopped map[string]int64
 	waiting func()
 }
@@ -61,7 +63,7 @@
 	return ibiswork.Resources{MilliCPU: cpu, MemoryMB: mem}
 }
 
-func newWorld(t *testing.T, servers int) *world {
+func newWorld(t testing.TB, servers int) *world {
 	w := &world{
 		t: t, now: 1000, table: map[string]map[string][]byte{}, servers: map[string]*fakeServer{},
 		answers: map[uint64]ibiscell.Answer{}, commitMS: 12, ends: map[string]int{},
@@ -205,6 +207,9 @@
 	case ibiscell.Answer:
 		w.answers[c.To] = c
 	case ibiscell.Advise:
+		if w.onAdvise != nil {
+			w.onAdvise(c)
+		}
 		w.after(w.askMS(len(c.Servers)), func() {
 			var ok []ibiscell.Ticket
 			for _, id := range c.Servers {
@@ -250,6 +255,9 @@
 	if c.Epoch < s.epoch {
 		return ibiscell.OrderFenced
 	}
+	if s.refuse != "" {
+		return s.refuse
+	}
 	if _, there := s.runs[c.Name]; there {
 		return ibiscell.OrderDone
 	}
