--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -322,6 +322,11 @@
 		}
 		s.waiting = func() { w.after(1, reply) }
 		w.after(c.WaitMS, reply)
+		w.after(c.WaitMS+700, func() {
+			if !answered {
+				w.e.HoldFailed(w.now, c.Target, ibiscell.OrderUnknown)
+			}
+		})
 	})
 }
 
