Let strong VMs lead; find the leader through peers while the table is away; count a job as started when a server says so

Change: the order of candidates goes by power; a leader hands over to a linked VM of twice its power; daemons name the leader to each other; counts of waiting jobs that are too old are not shown.

--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -187,12 +187,6 @@
 		e.endRun(r, EndStopped, "")
 		return
 	}
-	if !j.started {
-		j.started = true
-		if j.state == ibisjob.Queued {
-			j.state, j.shown = ibisjob.Active, ibisjob.Active
-		}
-	}
 	e.setState(r, runSent)
 	e.sendStart(r)
 }
@@ -272,6 +266,7 @@
 		r.server.heardAt = now
 		e.setState(r, runRunning)
 		r.movedAt = now
+		e.noteStarted(r.task.step.occ.job)
 	case OrderFenced:
 		e.send(Deposed{Epoch: e.set.Epoch})
 	case OrderReplaced:
@@ -283,6 +278,15 @@
 	}
 }
 
+// noteStarted takes note that a task of j has started.
+func (e *Engine) noteStarted(j *job) {
+	if j.started || j.state.Final() {
+		return
+	}
+	j.started, j.state, j.shown = true, ibisjob.Active, ibisjob.Active
+	e.touch(j, nil)
+}
+
 // startRefused handles a start that the server has turned down. After an earlier try without a reply the
 // run may be there all the same, so it is stopped rather than forgotten.
 func (e *Engine) startRefused(r *run, how OrderOutcome, unknownBefore bool) {
@@ -333,6 +337,7 @@
 	switch r.state {
 	case runSent, runRecovered:
 		e.setState(r, runRunning)
+		e.noteStarted(r.task.step.occ.job)
 		r.since = sentAt // it is in a list that was asked for then
 		r.movedAt = e.now
 	case runStopping:
--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -11,7 +11,7 @@
 
 const (
 	leaderWait    = 1500 * time.Millisecond // a request waits this long for a leader to be found, about one takeover
-	freshNews     = 2 * time.Second         // of counts of waiting jobs
+	freshNews     = 700 * time.Millisecond  // of the leader, beside the age of its counts of waiting jobs
 	lostTolerance = 2500 * time.Millisecond // without a leader, after which this daemon is not ready
 	vouchPart     = 0.75                    // of the time within which a withdrawn key must stop to work
 	selfReadAfter = 1100 * time.Millisecond // without word from the leader, a daemon reads the configuration itself
@@ -111,11 +111,12 @@
 	case t != nil:
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		return t.waiting[queue], t.waiting != nil
+		fresh := n.clock.Now()-t.waitingAt < (freshNews+freshCounts).Milliseconds()/2
+		return t.waiting[queue], t.waiting != nil && fresh
 	case f != nil:
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		fresh := n.clock.Now()-f.news.At < freshNews.Milliseconds()
+		fresh := n.clock.Now()-f.news.At < freshNews.Milliseconds() && f.news.Waiting != nil
 		return f.news.Waiting[queue], fresh
 	}
 	return 0, false
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -42,12 +42,21 @@
 	Pong     *pong             `cbor:"7,keyasint,omitempty"`
 	Config   *ibisjob.Config   `cbor:"8,keyasint,omitempty"`
 	Succeed  *succeed          `cbor:"9,keyasint,omitempty"`
+	Members  []member          `cbor:"10,keyasint,omitempty"` // all linked daemons and the leader
+	Leader   *leaderRow        `cbor:"11,keyasint,omitempty"` // where to go instead
 }
 
 // hello opens a link.
 type hello struct {
-	Name  string `cbor:"1,keyasint"`
-	Epoch int64  `cbor:"2,keyasint"` // of the leader that is meant
+	Member member `cbor:"1,keyasint"`
+	Epoch  int64  `cbor:"2,keyasint"` // of the leader that is meant
+}
+
+// member is a daemon as the others know it.
+type member struct {
+	Name    string  `cbor:"1,keyasint"`
+	Address string  `cbor:"2,keyasint"`
+	Power   float64 `cbor:"3,keyasint"` // work that its VM does in a second, in cores
 }
 
 // advised is the outcome of one call to the advice service.
@@ -70,8 +79,7 @@
 	Version     int64          `cbor:"2,keyasint"` // of the leader's configuration
 	VouchAgeMS  int64          `cbor:"3,keyasint"` // since the leader began the read that last confirmed it
 	CommitAgeMS int64          `cbor:"4,keyasint"` // since the leader's last commit
-	Waiting     map[string]int `cbor:"5,keyasint,omitempty"`
-	Members     []string       `cbor:"6,keyasint,omitempty"` // addresses of the linked daemons
+	Waiting     map[string]int `cbor:"5,keyasint"` // nil: not known
 }
 
 // succeed asks the receiver to take the lead at once.
@@ -98,6 +106,12 @@
 	if o.Config != nil {
 		f.Config = o.Config
 	}
+	if o.Members != nil {
+		f.Members = o.Members
+	}
+	if o.Leader != nil {
+		f.Leader = o.Leader
+	}
 	if o.Succeed != nil {
 		f.Succeed = o.Succeed
 	}
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -20,8 +20,8 @@
 
 // link is the leader's end of a link to another daemon.
 type link struct {
-	name string
-	out  *outbox
+	member
+	out *outbox
 }
 
 // serveLink serves a link that another daemon has opened.
@@ -32,9 +32,14 @@
 	}
 	t := n.leading()
 	if f.Hello == nil || t == nil || f.Hello.Epoch > t.row.Epoch {
+		if known := n.knownLeader(); known.Epoch > 0 {
+			if err := s.Send(&frame{Leader: &known}); err != nil {
+				return err
+			}
+		}
 		return Error.New("this daemon does not lead")
 	}
-	l := &link{name: f.Hello.Name, out: newOutbox()}
+	l := &link{member: f.Hello.Member, out: newOutbox()}
 	t.join(l)
 	defer t.leave(l)
 	go l.out.run(s.Send)
@@ -64,7 +69,7 @@
 	t.mu.Lock()
 	t.links[l] = true
 	t.mu.Unlock()
-	t.log.WithField("Peer", l.name).Info("LinkOpened")
+	t.log.WithField("Peer", l.Name).Info("LinkOpened")
 	t.shareHelpers()
 }
 
@@ -73,7 +78,7 @@
 	delete(t.links, l)
 	t.mu.Unlock()
 	l.out.close()
-	t.log.WithField("Peer", l.name).Info("LinkClosed")
+	t.log.WithField("Peer", l.Name).Info("LinkClosed")
 	t.shareHelpers()
 }
 
@@ -81,8 +86,9 @@
 func (t *term) shareHelpers() {
 	names := []string{t.n.set.Name}
 	t.mu.Lock()
+	t.membersChanged = true
 	for l := range t.links {
-		names = append(names, l.name)
+		names = append(names, l.Name)
 	}
 	t.mu.Unlock()
 	slices.Sort(names)
@@ -111,7 +117,11 @@
 	vouched, version := t.n.vouch()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &pong{At: p.At, Version: version, VouchAgeMS: now - vouched, CommitAgeMS: now - t.commitAt.Load(), Waiting: t.waiting}
+	out := &pong{At: p.At, Version: version, VouchAgeMS: now - vouched, CommitAgeMS: now - t.commitAt.Load()}
+	if now-t.waitingAt < freshCounts.Milliseconds() {
+		out.Waiting = t.waiting
+	}
+	return out
 }
 
 // follower is the other end of a link: it carries this daemon's requests to the leader.
@@ -167,7 +177,7 @@
 	defer shut()
 	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), pongAt: n.clock.Now()}
 	f.news.At = f.pongAt // until the first pong, the leader is taken to be well
-	f.out.put(&frame{Hello: &hello{Name: n.set.Name, Epoch: leader.Epoch}, Ping: f.ping()})
+	f.out.put(&frame{Hello: &hello{Member: n.member(), Epoch: leader.Epoch}, Ping: f.ping()})
 	frames, broken := make(chan *frame), make(chan error, 1)
 	go func() {
 		for {
@@ -202,6 +212,10 @@
 			n.log.WithFields(log.Fields{"Leader": leader.Name, "Linked": linked}).WithError(err).Warn("LeaderLost")
 			return linked, nil
 		case m := <-frames:
+			if m.Leader != nil {
+				n.learnLeader(*m.Leader)
+				return linked, nil
+			}
 			if !linked {
 				linked = true
 				n.setFollower(f)
@@ -244,6 +258,9 @@
 	for _, a := range m.Advise {
 		go func() { f.out.put(&frame{Advised: []advised{f.n.callAdvice(ctx, a)}}) }()
 	}
+	if m.Members != nil {
+		f.n.setMembers(m.Members)
+	}
 	if m.Config != nil {
 		f.n.setConfig(m.Config, "Leader")
 	}
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -41,10 +41,10 @@
 // Settings of a daemon.
 type Settings struct {
 	Name     string
-	Address  string        // for links of other daemons, IP and port
-	FirstRun bool          // the whole system starts for the first time
-	Rank     time.Duration // added before a try to lead, so that not all try at once
-	RevokeMS int64         // a withdrawn key must not work for longer
+	Address  string  // for links of other daemons, IP and port
+	FirstRun bool    // the whole system starts for the first time
+	Power    float64 // work that this VM does in a second, in cores
+	RevokeMS int64   // a withdrawn key must not work for longer
 	Cell     ibiscell.Settings
 }
 
@@ -82,6 +82,8 @@
 	lostAt   ibiscell.Time // since when there is neither
 	away     map[string]bool
 	draining bool
+	members  []member  // all daemons, as the last leader has named them
+	known    leaderRow // the newest leader that this daemon has heard of
 }
 
 // New makes a daemon that does nothing before Start.
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
@@ -20,6 +23,7 @@
 	getTimeout    = 1500 * time.Millisecond
 	scanTimeout   = 4 * time.Second
 	takeTries     = 6
+	peersAsked    = 3 // daemons that are asked for the leader in one round
 )
 
 // leaderRow is the row that says who leads the cell.
@@ -37,6 +41,71 @@
 	at      ibiscell.Time
 }
 
+const (
+	rankStep  = 60 * time.Millisecond  // between the tries of two daemons
+	weakRank  = 700 * time.Millisecond // for VMs that are much weaker than the strongest
+	weakPower = 0.5                    // of the strongest VM's power, below which a VM is weak
+	rankSlots = 8                      // of daemons that know no others
+	weakCores = 0.3                    // power below which such a daemon is weak
+)
+
+// rank is how long this daemon waits before it tries to lead, so that not all try at once. Strong VMs come
+// first: a leader on a weak one would slow down all.
+func (n *Node) rank(gone string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.member()
+	if len(n.members) == 0 {
+		d := time.Duration(own.hash()%rankSlots) * rankStep
+		if own.Power < weakCores {
+			d += weakRank
+		}
+		return d
+	}
+	strongest := own.Power
+	before := 0
+	for _, m := range n.members {
+		if m.Name == gone || m.Name == own.Name {
+			continue
+		}
+		strongest = max(strongest, m.Power)
+		if m.Power > own.Power || m.Power == own.Power && m.hash() < own.hash() {
+			before++
+		}
+	}
+	d := time.Duration(before) * rankStep
+	if own.Power < weakPower*strongest {
+		d += weakRank
+	}
+	return d
+}
+
+func (m member) hash() uint64 { return xxhash.Sum64String(m.Name) }
+
+func (n *Node) member() member {
+	return member{Name: n.set.Name, Address: n.set.Address, Power: n.set.Power}
+}
+
+func (n *Node) setMembers(all []member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = all
+}
+
+func (n *Node) learnLeader(row leaderRow) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if row.Epoch > n.known.Epoch {
+		n.known = row
+	}
+}
+
+func (n *Node) knownLeader() leaderRow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.known
+}
+
 // seek looks for the leader, follows it, and takes its place when it is gone.
 func (n *Node) seek(ctx context.Context) {
 	var seen sighting
@@ -44,10 +113,12 @@
 		row, leader, err := n.readLeader(ctx)
 		if err != nil {
 			n.lost("Table", err)
+			n.followKnown(ctx)
 			n.sleep(ctx, seekPause)
 			continue
 		}
 		n.regained("Table")
+		n.learnLeader(leader)
 		if row.Version != seen.version || seen.at == 0 {
 			seen = sighting{version: row.Version, at: n.clock.Now()}
 		}
@@ -64,9 +135,9 @@
 				continue
 			}
 		}
-		silent := leaderSilent + n.set.Rank
+		silent := leaderSilent + n.rank(leader.Name)
 		if row.Version == 0 && n.set.FirstRun || mine {
-			silent = n.set.Rank
+			silent = n.rank(leader.Name)
 		}
 		if n.clock.Now()-seen.at >= silent.Milliseconds() && !n.isDraining() {
 			n.takeLead(ctx, leader.Epoch, false)
@@ -77,6 +148,33 @@
 	}
 }
 
+// followKnown follows a leader without the table: the newest that this daemon or another has heard of.
+func (n *Node) followKnown(ctx context.Context) {
+	known := n.knownLeader()
+	if known.Epoch > 0 && known.Name != n.set.Name {
+		if linked, next := n.follow(ctx, known); linked || next != nil || n.knownLeader().Epoch > known.Epoch {
+			return
+		}
+	}
+	n.mu.Lock()
+	all := slices.Clone(n.members)
+	n.mu.Unlock()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	asked := 0
+	for _, m := range all {
+		if m.Name == n.set.Name || m.Name == known.Name {
+			continue
+		}
+		if asked++; asked > peersAsked || ctx.Err() != nil {
+			return
+		}
+		// A daemon that does not lead answers with the leader that it knows.
+		if linked, _ := n.follow(ctx, leaderRow{Name: m.Name, Address: m.Address, Epoch: known.Epoch}); linked || n.knownLeader().Epoch > known.Epoch {
+			return
+		}
+	}
+}
+
 func (n *Node) readLeader(ctx context.Context) (Row, leaderRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, getTimeout)
 	defer cancel()
@@ -99,7 +197,7 @@
 	f.mu.Lock()
 	age := f.news.CommitAgeMS + n.clock.Now() - f.news.At
 	f.mu.Unlock()
-	if age < (supplantAfter+n.set.Rank).Milliseconds() || n.isDraining() {
+	if age < (supplantAfter+n.rank(f.leader.Name)).Milliseconds() || n.isDraining() {
 		return false
 	}
 	began := n.clock.Now()
@@ -234,6 +332,7 @@
 	wg.Go(t.commits)
 	wg.Go(t.followServers)
 	wg.Go(t.followConfig)
+	t.n.learnLeader(t.row)
 	t.n.setLeader(t)
 	if cfg := t.n.Config(); cfg != nil {
 		t.configChanged(cfg) // it may have come between the recovery and now
@@ -255,14 +354,40 @@
 	if t == nil {
 		return
 	}
+	t.handOver(0)
+}
+
+// handOver asks the strongest linked daemon to take the lead, if it has more power than given.
+func (t *term) handOver(above float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var best *link
 	for l := range t.links {
-		if l.out.put(&frame{Succeed: &succeed{Epoch: t.row.Epoch}}) {
-			t.log.WithField("Peer", l.name).Info("LeadHandedOver")
-			return
+		if best == nil || l.Power > best.Power || l.Power == best.Power && l.hash() < best.hash() {
+			best = l
 		}
 	}
+	if best != nil && best.Power > above && best.out.put(&frame{Succeed: &succeed{Epoch: t.row.Epoch}}) {
+		t.log.WithFields(log.Fields{"Peer": best.Name, "Power": best.Power, "OwnPower": t.n.set.Power}).Info("LeadHandedOver")
+	}
+}
+
+// shareMembers tells the linked daemons of each other when something has changed.
+func (t *term) shareMembers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.membersChanged {
+		return
+	}
+	t.membersChanged = false
+	all := []member{t.n.member()}
+	for l := range t.links {
+		all = append(all, l.member)
+	}
+	t.n.setMembers(all)
+	for l := range t.links {
+		l.out.put(&frame{Members: all})
+	}
 }
 
 func (n *Node) isDraining() bool {
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -16,18 +16,20 @@
 )
 
 const (
-	tickEvery     = 10 * time.Millisecond  // of the engine while nothing happens
-	beatEvery     = 250 * time.Millisecond // between commits, so that others see a leader that is alive
-	serversEvery  = 400 * time.Millisecond // between reads of the list of backend servers; a leaving one is known within 500 ms
-	configEvery   = 500 * time.Millisecond // between reads of the configuration, which must apply within 2 s
-	readTimeout   = 2 * time.Second        // of one read of the directory; a slow table answers in 0.3 to 0.8 s
-	loadEvery     = time.Second            // between log lines of the cell's load
-	eventBacklog  = 8192                   // events that wait for the engine
-	commitPause   = 60 * time.Millisecond  // after a commit that was not carried out
-	failingAfter  = 300 * time.Millisecond // without success, after which callers are refused at once
-	adviseTimeout = 5 * time.Second        // of one call; the longest takes about 1.2 s
-	holdTimeout   = 700 * time.Millisecond // of a hold, beyond its wait
-	orderTimeout  = 600 * time.Millisecond // of an order, which is answered within a few milliseconds
+	tickEvery     = 10 * time.Millisecond   // of the engine while nothing happens
+	beatEvery     = 250 * time.Millisecond  // between commits, so that others see a leader that is alive
+	serversEvery  = 400 * time.Millisecond  // between reads of the list of backend servers; a leaving one is known within 500 ms
+	configEvery   = 500 * time.Millisecond  // between reads of the configuration, which must apply within 2 s
+	readTimeout   = 2 * time.Second         // of one read of the directory; a slow table answers in 0.3 to 0.8 s
+	loadEvery     = time.Second             // between log lines of the cell's load
+	freshCounts   = 1500 * time.Millisecond // of waiting jobs, which may be shown for 2 s
+	handOverEvery = 3                       // reports of the load between looks for a much stronger VM
+	eventBacklog  = 8192                    // events that wait for the engine
+	commitPause   = 60 * time.Millisecond   // after a commit that was not carried out
+	failingAfter  = 300 * time.Millisecond  // without success, after which callers are refused at once
+	adviseTimeout = 5 * time.Second         // of one call; the longest takes about 1.2 s
+	holdTimeout   = 700 * time.Millisecond  // of a hold, beyond its wait
+	orderTimeout  = 600 * time.Millisecond  // of an order, which is answered within a few milliseconds
 )
 
 // errDeposed says that another daemon leads.
@@ -48,11 +50,14 @@
 
 	commitAt atomic.Int64 // of the last commit, on the node's clock
 
-	mu      sync.Mutex
-	links   map[*link]bool
-	waiting map[string]int // jobs that wait, by queue
-	answers map[uint64]func(Reply)
-	lastAsk uint64
+	mu             sync.Mutex
+	links          map[*link]bool
+	waiting        map[string]int // jobs that wait, by queue
+	waitingAt      ibiscell.Time
+	reports        int
+	membersChanged bool // since they were sent to the linked daemons
+	answers        map[uint64]func(Reply)
+	lastAsk        uint64
 }
 
 // event hands fn to the engine's goroutine; it reports false when the term is over.
@@ -161,14 +166,18 @@
 func (t *term) report(e *ibiscell.Engine) {
 	w := e.Waiting()
 	t.mu.Lock()
-	t.waiting = w
+	t.waiting, t.waitingAt = w, t.n.clock.Now()
 	links := len(t.links)
 	t.mu.Unlock()
+	t.shareMembers()
 	l := e.Load()
 	t.log.WithFields(log.Fields{
 		"Jobs": l.Jobs, "ReadySteps": l.ReadySteps, "Runs": l.Runs, "Servers": l.Servers, "Usable": l.Usable,
 		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links,
 	}).Info("CellLoad")
+	if t.reports++; t.reports%handOverEvery == 0 {
+		t.handOver(t.n.set.Power / weakPower)
+	}
 	t.n.gauge("CellJobs", l.Jobs)
 	t.n.gauge("CellRuns", l.Runs)
 	t.n.gauge("CellServersUsable", l.Usable)
@@ -237,7 +246,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for l := range t.links {
-		if l.name == c.Helper && l.out.put(&frame{Advise: []ibiscell.Advise{c}}) {
+		if l.Name == c.Helper && l.out.put(&frame{Advise: []ibiscell.Advise{c}}) {
 			return
 		}
 	}
