--- a/ibiscell/caller.go
+++ b/ibiscell/caller.go
@@ -37,9 +37,9 @@
 		return
 	}
 	spec.AcceptedMS = e.unixOffset + now
-	j := &job{spec: spec, state: ibisjob.Queued, shown: ibisjob.Queued, acceptedAt: now}
+	j := &job{spec: spec, state: ibisjob.Queued, shown: ibisjob.Queued, acceptedAt: now, waiters: []uint64{to}}
 	e.jobs[spec.ID] = j
-	e.touch(j, func() { e.accepted(j, to) })
+	e.touch(j, func() { e.accepted(j) })
 	j.dirt.job = true
 }
 
@@ -69,13 +69,33 @@
 		e.send(Answer{To: to, Outcome: OK})
 		return
 	}
-	j.dirt.effects = append(j.dirt.effects, func() { e.send(Answer{To: to, Outcome: OK}) })
+	j.waiters = append(j.waiters, to)
 }
 
-func (e *Engine) accepted(j *job, to uint64) {
+// rejectUnwritten refuses the jobs that no write to the table has contained yet.
+func (e *Engine) rejectUnwritten() {
+	kept := e.journal.queue[:0]
+	for _, j := range e.journal.queue {
+		if j.accepted || !j.dirt.job || j.state.Final() {
+			kept = append(kept, j)
+			continue
+		}
+		j.log(e).WithField("AgeMS", e.now-j.acceptedAt).Info("JobRefusedNotWritten")
+		delete(e.jobs, j.spec.ID)
+		for _, to := range j.waiters {
+			e.send(Answer{To: to, Outcome: Rejected, RetryMS: tableRetryMS})
+		}
+	}
+	e.journal.queue = kept
+}
+
+func (e *Engine) accepted(j *job) {
 	j.accepted = true
 	j.log(e).WithFields(log.Fields{"Steps": len(j.spec.Steps), "CommitMS": e.now - j.acceptedAt}).Info("JobAccepted")
-	e.send(Answer{To: to, Outcome: OK})
+	for _, to := range j.waiters {
+		e.send(Answer{To: to, Outcome: OK})
+	}
+	j.waiters = nil
 	if !j.state.Final() {
 		e.begin(j)
 	}
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -196,12 +196,14 @@
 // Load is a summary of the cell for logs and metrics.
 type Load struct {
 	Jobs, ReadySteps, Runs, Servers, Usable int
+	Asks                                    int   // calls for advice that wait
+	BacklogMS                               int64 // time that the usable servers need for the work that waits
 	Used, Capacity                          ibiswork.Resources
 }
 
 // Load sums up the cell.
 func (e *Engine) Load() Load {
-	l := Load{Jobs: len(e.jobs), ReadySteps: len(e.ready), Servers: len(e.servers)}
+	l := Load{Jobs: len(e.jobs), ReadySteps: len(e.ready), Servers: len(e.servers), Asks: len(e.helpers.queue), BacklogMS: e.backlogMS}
 	for _, s := range e.servers {
 		l.Runs += len(s.runs)
 		l.Used = l.Used.Add(s.used)
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -18,7 +18,7 @@
 	acceptedAt  Time
 	occurrences []*occurrence // those that have begun and have not ended
 	nextTime    int           // the next occurrence to begin
-	failed      bool
+	waiters     []uint64      // callers that wait for the commit of its row
 	dirt        dirt
 }
 
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -210,6 +210,7 @@
 func (e *Engine) CommitFailing(now Time) {
 	e.now = now
 	e.journal.failing = true
+	e.rejectUnwritten()
 }
 
 // Authority reports whether the last commit is so recent that this leader may still grant leases.
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -15,13 +16,14 @@
 const (
 	linkTimeout = 700 * time.Millisecond // to open a link
 	pingEvery   = 250 * time.Millisecond
-	pongTimeout = 900 * time.Millisecond // without a pong: the leader counts as lost
+	pongTimeout = 700 * time.Millisecond // without a pong: the leader counts as lost
 )
 
 // link is the leader's end of a link to another daemon.
 type link struct {
 	member
-	out *outbox
+	out    *outbox
+	pingAt atomic.Int64 // of the last ping, on the node's clock
 }
 
 // serveLink serves a link that another daemon has opened.
@@ -40,6 +42,7 @@
 		return Error.New("this daemon does not lead")
 	}
 	l := &link{member: f.Hello.Member, out: newOutbox()}
+	l.pingAt.Store(n.clock.Now())
 	t.join(l)
 	defer t.leave(l)
 	go l.out.run(s.Send)
@@ -68,6 +71,7 @@
 func (t *term) join(l *link) {
 	t.mu.Lock()
 	t.links[l] = true
+	delete(t.unreached, l.Name)
 	t.mu.Unlock()
 	t.log.WithField("Peer", l.Name).Info("LinkOpened")
 	t.shareHelpers()
@@ -79,6 +83,9 @@
 	t.mu.Unlock()
 	l.out.close()
 	t.log.WithField("Peer", l.Name).Info("LinkClosed")
+	if t.ctx.Err() == nil {
+		go t.probe(l.member)
+	}
 	t.shareHelpers()
 }
 
@@ -108,6 +115,7 @@
 		t.advised(a)
 	}
 	if f.Ping != nil {
+		l.pingAt.Store(t.n.clock.Now())
 		l.out.put(&frame{Pong: t.pong(f.Ping)})
 	}
 }
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -17,6 +17,7 @@
 package ibisnode
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -42,6 +43,7 @@
 type Settings struct {
 	Name     string
 	Address  string  // for links of other daemons, IP and port
+	Listen   string  // where links come in, when that is not Address
 	FirstRun bool    // the whole system starts for the first time
 	Power    float64 // work that this VM does in a second, in cores
 	RevokeMS int64   // a withdrawn key must not work for longer
@@ -84,6 +86,8 @@
 	draining bool
 	members  []member  // all daemons, as the last leader has named them
 	known    leaderRow // the newest leader that this daemon has heard of
+
+	vacatedAt ibiscell.Time // when this daemon last gave up the lead; owned by seek
 }
 
 // New makes a daemon that does nothing before Start.
@@ -100,7 +104,7 @@
 
 // Start listens for links and joins the cell. The result leaves it again: a leader hands over first.
 func (n *Node) Start() (stop func(), err error) {
-	l, err := net.Listen("tcp", n.set.Address)
+	l, err := net.Listen("tcp", cmp.Or(n.set.Listen, n.set.Address))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -23,7 +25,10 @@
 	getTimeout    = 1500 * time.Millisecond
 	scanTimeout   = 4 * time.Second
 	takeTries     = 6
-	peersAsked    = 3 // daemons that are asked for the leader in one round
+	silentLink    = 800 * time.Millisecond  // without a ping: the other end cannot be reached
+	vacatedFor    = 1200 * time.Millisecond // a daemon that has given up the lead leaves it to others for this long
+	probeTimeout  = 400 * time.Millisecond  // of a look whether a daemon that has left is gone
+	peersAsked    = 3                       // daemons that are asked for the leader in one round
 )
 
 // leaderRow is the row that says who leads the cell.
@@ -39,6 +44,7 @@
 type sighting struct {
 	version int64
 	at      ibiscell.Time
+	silent  bool // the leader has been found silent; it is not called again before its row changes
 }
 
 const (
@@ -120,10 +126,10 @@
 		n.regained("Table")
 		n.learnLeader(leader)
 		if row.Version != seen.version || seen.at == 0 {
-			seen = sighting{version: row.Version, at: n.clock.Now()}
+			seen = sighting{version: row.Version, at: n.clock.Now(), silent: seen.silent && seen.at == 0}
 		}
 		mine := leader.Name == n.set.Name // an earlier process of this daemon
-		if row.Version != 0 && !mine {
+		if row.Version != 0 && !mine && !seen.silent && leader.Name != "" {
 			linked, next := n.follow(ctx, leader)
 			if next != nil {
 				n.takeLead(ctx, leader.Epoch, true)
@@ -131,13 +137,16 @@
 				continue
 			}
 			if linked {
-				seen = sighting{}
+				seen = sighting{silent: true}
 				continue
 			}
 		}
 		silent := leaderSilent + n.rank(leader.Name)
-		if row.Version == 0 && n.set.FirstRun || mine {
+		if row.Version == 0 && n.set.FirstRun || mine || leader.Name == "" {
 			silent = n.rank(leader.Name)
+			if leader.Name == "" && n.clock.Now()-n.vacatedAt < vacatedFor.Milliseconds() {
+				silent += vacatedFor
+			}
 		}
 		if n.clock.Now()-seen.at >= silent.Milliseconds() && !n.isDraining() {
 			n.takeLead(ctx, leader.Epoch, false)
@@ -269,7 +278,7 @@
 	t := &term{
 		n: n, row: row, version: version, log: n.log.WithField("Epoch", row.Epoch),
 		events: make(chan func(*ibiscell.Engine), eventBacklog), batches: make(chan *ibiscell.Batch, 1), done: make(chan struct{}),
-		links: make(map[*link]bool), answers: make(map[uint64]func(Reply)),
+		links: make(map[*link]bool), unreached: make(map[string]bool), answers: make(map[uint64]func(Reply)),
 	}
 	t.commitAt.Store(n.clock.Now())
 	return t
@@ -342,6 +351,9 @@
 	t.n.setLeader(nil)
 	t.close()
 	wg.Wait()
+	if t.vacating.Load() {
+		t.n.vacatedAt = t.n.clock.Now()
+	}
 	t.log.Info("LeadEnded")
 }
 
@@ -372,6 +384,46 @@
 	}
 }
 
+// checkLinks gives up the lead when most of the linked daemons have fallen silent at once: they are more
+// likely to reach each other than this one, and look for a new leader as soon as the row names none.
+func (t *term) checkLinks() {
+	now := t.n.clock.Now()
+	t.mu.Lock()
+	silent, all := len(t.unreached), len(t.unreached)
+	for l := range t.links {
+		all++
+		if now-l.pingAt.Load() > silentLink.Milliseconds() {
+			silent++
+		}
+	}
+	t.mu.Unlock()
+	if all < 2 || 2*silent <= all || t.vacating.Load() {
+		return
+	}
+	t.log.WithFields(log.Fields{"Links": all, "Silent": silent}).Warn("LeadGivenUp")
+	t.vacating.Store(true)
+}
+
+// probe finds out whether a daemon whose link has broken is gone: then its VM refuses connections. One that
+// does not answer may be well, and cut off from this one.
+func (t *term) probe(m member) {
+	conn, err := net.DialTimeout("tcp", m.Address, probeTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	if t.ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for l := range t.links {
+		if l.Name == m.Name {
+			return
+		}
+	}
+	t.unreached[m.Name] = true
+}
+
 // shareMembers tells the linked daemons of each other when something has changed.
 func (t *term) shareMembers() {
 	t.mu.Lock()
@@ -395,3 +447,10 @@
 	defer n.mu.Unlock()
 	return n.draining
 }
+
+// Members is the number of daemons that this one knows of, itself included.
+func (n *Node) Members() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.members)
+}
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -49,10 +49,12 @@
 	done    chan struct{} // closed when the term is over
 
 	commitAt atomic.Int64 // of the last commit, on the node's clock
+	vacating atomic.Bool  // the lead is to be given up
 
 	mu             sync.Mutex
 	links          map[*link]bool
-	waiting        map[string]int // jobs that wait, by queue
+	unreached      map[string]bool // daemons whose links have broken, and that do not answer
+	waiting        map[string]int  // jobs that wait, by queue
 	waitingAt      ibiscell.Time
 	reports        int
 	membersChanged bool // since they were sent to the linked daemons
@@ -118,7 +120,7 @@
 func (t *term) run(e *ibiscell.Engine) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	var loadAt ibiscell.Time
+	var loadAt, linksAt ibiscell.Time
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -139,6 +141,10 @@
 			loadAt = now
 			t.report(e)
 		}
+		if now-linksAt > pingEvery.Milliseconds() {
+			linksAt = now
+			t.checkLinks()
+		}
 	}
 }
 
@@ -173,7 +179,7 @@
 	l := e.Load()
 	t.log.WithFields(log.Fields{
 		"Jobs": l.Jobs, "ReadySteps": l.ReadySteps, "Runs": l.Runs, "Servers": l.Servers, "Usable": l.Usable,
-		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links,
+		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links, "Asks": l.Asks, "BacklogMS": l.BacklogMS,
 	}).Info("CellLoad")
 	if t.reports++; t.reports%handOverEvery == 0 {
 		t.handOver(t.n.set.Power / weakPower)
@@ -272,10 +278,23 @@
 		if err := t.commit(b); err != nil {
 			return
 		}
+		if t.vacating.Load() {
+			t.vacate()
+			return
+		}
 		beat.Reset(beatEvery)
 	}
 }
 
+// vacate writes that nobody leads, and ends the term.
+func (t *term) vacate() {
+	t.row.Name, t.row.Address = "", ""
+	if err := t.commit(nil); err != nil {
+		t.log.WithError(err).Info("LeadNotVacated")
+	}
+	t.end()
+}
+
 // commit writes the leader's row together with b, again until it is certain that this has been done once.
 // Each commit changes the row that it is conditional on, so that an earlier try that is carried out late
 // changes nothing.
