Place at a bounded rate; claim servers for urgent tasks and for as many gangs as fit; count work as late by what is left of it

Change: the time between placements grows with the ready steps; events within 4 ms share one tick; a call that renews tickets names further servers.

--- a/ibiscell/advice.go
+++ b/ibiscell/advice.go
@@ -77,7 +77,7 @@
 	step     *step
 	servers  []string
 	reserved []*run // keep room while their tickets are asked for
-	late     bool
+	late     lateness
 	priority int
 	callMS   int64
 	helper   string
@@ -127,7 +127,7 @@
 	q := e.queues[st.occ.job.spec.Queue]
 	e.lastAsk++
 	a := &ask{
-		id: e.lastAsk, step: st, servers: servers, reserved: reserved, priority: q.Priority, late: e.now > e.objectiveEnd(st.occ),
+		id: e.lastAsk, step: st, servers: servers, reserved: reserved, priority: q.Priority, late: e.lateness(st),
 		callMS: q.Advice.CallMS(len(servers)), sentAt: e.now,
 	}
 	st.advised.asking++
@@ -146,7 +146,7 @@
 		e.helpers.busy = make(map[string][]*ask)
 	}
 	slices.SortStableFunc(e.helpers.queue, func(a, b *ask) int {
-		return cmp.Or(-compareBool(len(a.reserved) > 0, len(b.reserved) > 0), compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority))
+		return cmp.Or(-compareBool(len(a.reserved) > 0, len(b.reserved) > 0), cmp.Compare(a.late, b.late), cmp.Compare(a.priority, b.priority))
 	})
 	spared := e.helpers.spared(e.now)
 	kept := e.helpers.queue[:0]
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -89,7 +89,7 @@
 	timed     []*job  // jobs with occurrences that are still to come
 	replace   bool    // something has changed that a placement could use
 	backlogMS int64   // time that the usable servers need for the work that waits, at the last placement
-	nextPlace Time
+	placedAt  Time
 
 	journal journal
 	out     []Command
@@ -167,7 +167,7 @@
 	e.resend()
 	e.startOccurrences()
 	e.expireAsks()
-	if e.replace || now >= e.nextPlace {
+	if e.replace && now >= e.placedAt+e.placeGap() || now >= e.placedAt+placeEveryMS {
 		e.place()
 	}
 	e.dispatchAdvice()
@@ -197,6 +197,7 @@
 type Load struct {
 	Jobs, ReadySteps, Runs, Servers, Usable int
 	Asks                                    int   // calls for advice that wait
+	IdleHelpers                             int   // daemons that are at no call for advice
 	BacklogMS                               int64 // time that the usable servers need for the work that waits
 	Used, Capacity                          ibiswork.Resources
 }
@@ -204,6 +205,11 @@
 // Load sums up the cell.
 func (e *Engine) Load() Load {
 	l := Load{Jobs: len(e.jobs), ReadySteps: len(e.ready), Servers: len(e.servers), Asks: len(e.helpers.queue), BacklogMS: e.backlogMS}
+	for _, name := range e.helpers.names {
+		if len(e.helpers.busy[name]) == 0 {
+			l.IdleHelpers++
+		}
+	}
 	for _, s := range e.servers {
 		l.Runs += len(s.runs)
 		l.Used = l.Used.Add(s.used)
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -19,6 +19,7 @@
 	occurrences []*occurrence // those that have begun and have not ended
 	nextTime    int           // the next occurrence to begin
 	waiters     []uint64      // callers that wait for the commit of its row
+	pathMS      int64         // its critical path, once it has been asked for
 	dirt        dirt
 }
 
@@ -43,6 +44,8 @@
 	advised advised
 	fails   int // of a gang
 	pauseTo Time
+
+	remaining int64 // the chain of work from here on, once it has been asked for
 }
 
 // task is one of the equal tasks of a step.
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -208,3 +208,48 @@
 		})
 	}
 }
+
+// feedNarrow keeps the servers full of narrow work that ends all the time.
+func (w *world) feedNarrow(from *int, ms int64) {
+	for range ms / 50 {
+		*from++
+		w.submit(uint64(*from), ibisjob.Job{ID: jobID(*from), Queue: "bulk", Team: "b", Spec: "1000", Steps: steps(ibisjob.Step{Tasks: 6, Size: size(3500, 10), EstimateMS: 1000})})
+		w.run(50)
+	}
+}
+
+func TestUrgentTaskGetsAHoleThatNarrowWorkWouldFill(t *testing.T) {
+	w := newWorld(t, 4)
+	n := 1000
+	w.feedNarrow(&n, 2000)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "quick", Spec: "500", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(10_000, 10), EstimateMS: 500})})
+	w.feedNarrow(&n, 2000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
+
+func TestSeveralGangsGatherServersAtATime(t *testing.T) {
+	w := newWorld(t, 20)
+	n := 1000
+	w.feedNarrow(&n, 2500)
+	for k := range 6 {
+		w.submit(uint64(k), ibisjob.Job{ID: jobID(k), Queue: "wide", Spec: "500", Steps: steps(ibisjob.Step{Tasks: 3, Size: size(12_000, 17000), Gang: true, EstimateMS: 500})})
+	}
+	w.feedNarrow(&n, 5000)
+	for k := range 6 {
+		assert.Equal(t, w.state(jobID(k)), ibisjob.Completed, "gang %d", k)
+	}
+}
+
+func TestRenewedTicketsServeLaterTasks(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cfg.Queues[2].Advice = &ibisjob.Advice{DecisionMS: 50, PerServerMS: 1, ValidMS: 1500}
+	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
+	w.e.SetConfig(w.cfg)
+	w.run(20)
+	asks := 0
+	w.onAdvise = func(ibiscell.Advise) { asks++ }
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "900", Steps: steps(ibisjob.Step{Tasks: 24, Size: size(4000, 10), EstimateMS: 900})})
+	w.run(6000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	assert.Assert(t, asks <= 5, "%d calls for three rounds on two servers", asks)
+}
--- a/ibiscell/place.go
+++ b/ibiscell/place.go
@@ -13,8 +13,12 @@
 
 const (
 	placeEveryMS     = 100 // a placement at least this often while tasks wait: tickets age and servers fail
-	maxGangClaims    = 2   // gangs that may keep servers from other work at a time
+	claimedPart      = 0.3 // of the servers, at most, that work without room may keep from work of lower rank
+	placeGapMS       = 4   // between placements
+	stepsPerGapMS    = 12  // ready steps for which the gap grows by 1 ms, since a placement looks at all of them
 	spareCandidates  = 2   // named to the advice service beyond those that are needed
+	widenBacklogMS   = 200 // of waiting work, from which more servers are named
+	widenPart        = 0.4 // of the time for a decision that may be spent on them
 	gangAskFactor    = 2   // for a gang all of its servers must be free at once
 	lateAttemptsLeft = 1   // attempts left with which a task goes to proven servers only
 )
@@ -22,18 +26,20 @@
 // pass is one placement over all ready steps.
 type pass struct {
 	servers []*server
-	claims  int
+	claims  int // servers that may still be claimed; one gang may claim more
+	claimed int // servers that gangs have claimed
 }
 
 // place gives waiting tasks their servers, in order of rank.
 func (e *Engine) place() {
-	e.replace, e.nextPlace = false, e.now+placeEveryMS
+	e.replace, e.placedAt = false, e.now
 	e.ready = slices.DeleteFunc(e.ready, func(st *step) bool { return st.left == 0 || st.occ.job.state.Final() })
 	if len(e.ready) == 0 {
 		e.backlogMS = 0
 		return
 	}
 	p := &pass{servers: e.sortedServers()}
+	p.claims = int(math.Ceil(claimedPart * float64(len(p.servers))))
 	for _, s := range p.servers {
 		s.claimedBy = nil
 	}
@@ -43,6 +49,12 @@
 	e.measureBacklog(p)
 }
 
+// placeGap is the time between two placements. It grows with the work of one, so that a cell with much waiting
+// work does not spend its time on looking through it.
+func (e *Engine) placeGap() int64 {
+	return min(placeGapMS+int64(len(e.ready)/stepsPerGapMS), placeEveryMS)
+}
+
 // measureBacklog sums up the work that waits after a placement.
 func (e *Engine) measureBacklog(p *pass) {
 	var capacity, work int64
@@ -67,12 +79,55 @@
 // rankedStep is a ready step with what its rank goes by.
 type rankedStep struct {
 	step     *step
-	late     bool
+	late     lateness
 	priority int
 	share    float64
 	since    Time
 }
 
+// lateness says what a step's job can still be worth.
+type lateness int
+
+const (
+	inTime  lateness = iota // it can still meet its latency objective
+	late                    // it cannot, but within lateFactor times the objective it is worth something
+	useless                 // it has to be done all the same
+)
+
+const (
+	lateFactor   = 3   // times the latency objective, from the platform's page
+	estimatePart = 0.7 // of the estimated work that must still fit in, since estimates are rough
+)
+
+// lateness goes by the work that the job has before it, were it started now.
+func (e *Engine) lateness(st *step) lateness {
+	begin, length := e.objective(st.occ)
+	end := e.now + int64(estimatePart*float64(st.remainingMS()))
+	switch {
+	case end <= begin+length:
+		return inTime
+	case end <= begin+lateFactor*length:
+		return late
+	}
+	return useless
+}
+
+// remainingMS is the estimated length of the chain of work that begins with st.
+func (st *step) remainingMS() int64 {
+	if st.remaining == 0 {
+		steps := st.occ.steps
+		longest := make([]int64, len(steps))
+		for n := len(steps) - 1; n >= 0; n-- {
+			longest[n] += steps[n].spec.EstimateMS
+			for _, d := range steps[n].spec.DependsOn {
+				longest[d] = max(longest[d], longest[n])
+			}
+		}
+		st.remaining = max(longest[st.n], 1)
+	}
+	return st.remaining
+}
+
 // ranked orders the steps that have waiting tasks: those that can still be in time before late ones, then
 // by priority, by the use of their team for its weight, and by age.
 func (e *Engine) ranked(p *pass) []*step {
@@ -91,18 +146,12 @@
 		}
 		j := st.occ.job
 		list = append(list, rankedStep{
-			step: st, late: e.now > e.objectiveEnd(st.occ), priority: e.queues[j.spec.Queue].Priority,
+			step: st, late: e.lateness(st), priority: e.queues[j.spec.Queue].Priority,
 			share: shares[j.spec.Team], since: j.acceptedAt,
 		})
 	}
 	slices.SortStableFunc(list, func(a, b rankedStep) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.share, b.share), cmp.Compare(a.since, b.since))
+		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.priority, b.priority), cmp.Compare(a.share, b.share), cmp.Compare(a.since, b.since))
 	})
 	steps := make([]*step, len(list))
 	for n := range list {
@@ -129,15 +178,18 @@
 	return false
 }
 
-// objectiveEnd is the time until which an occurrence is in time.
-func (e *Engine) objectiveEnd(occ *occurrence) Time {
+// objective is the time from which the latency of an occurrence counts, and its latency objective.
+func (e *Engine) objective(occ *occurrence) (begin Time, length int64) {
 	j := occ.job
 	q := e.queues[j.spec.Queue]
-	begin := j.acceptedAt
+	begin = j.acceptedAt
 	if !j.spec.RunsOnce() {
 		begin = j.spec.StartAtMS + int64(occ.n)*j.spec.IntervalMS - e.unixOffset
 	}
-	return begin + int64(q.SlackFactor*float64(j.spec.CriticalPathMS())) + q.ObjectiveMS
+	if j.pathMS == 0 {
+		j.pathMS = max(j.spec.CriticalPathMS(), 1)
+	}
+	return begin, int64(q.SlackFactor*float64(j.pathMS)) + q.ObjectiveMS
 }
 
 // candidate is a server that may run tasks of a step now.
@@ -175,13 +227,67 @@
 		renew = append(renew, e.newRun(t, c.server, n, runReserved))
 	}
 	if len(renew) > 0 {
-		e.ask(st, serversOf(renew), renew)
+		e.ask(st, e.renewMore(st, &q, serversOf(renew), short), renew)
+	}
+	if short > 0 && e.lateness(st) == inTime {
+		e.claimRoom(p, st, &q, short)
 	}
 	if short > 0 && q.Advice != nil && st.advised.asking == 0 && e.now >= st.advised.nextAt {
 		e.askMore(p, st, &q, short)
 	}
 }
 
+// renewMore adds approved servers whose tickets have aged to a call that renews others: tasks that are short of
+// room will need them soon, and a server costs less than a call.
+func (e *Engine) renewMore(st *step, q *ibisjob.Queue, ids []string, short int) []string {
+	more := min(short, int(q.Advice.DecisionMS/max(q.Advice.PerServerMS, 1e-6)), maxAskedServers-len(ids))
+	for n := range st.advised.known {
+		if more <= 0 {
+			break
+		}
+		ap := &st.advised.known[n]
+		s := e.servers[ap.server]
+		if ap.ok && s != nil && !ap.valid(s, e.now) && e.usable(s) && !slices.Contains(ids, ap.server) {
+			ids = append(ids, ap.server)
+			more--
+		}
+	}
+	return ids
+}
+
+// claimRoom keeps the servers with most room from work of lower rank, one for each task that found none, so
+// that small tasks do not take every hole before it is wide enough.
+func (e *Engine) claimRoom(p *pass, st *step, q *ibisjob.Queue, tasks int) {
+	var list []*server
+	add := func(s *server) {
+		if s != nil && s.claimedBy == nil && e.fitsKind(s, st, q) && slotsFor(s.info.Capacity, st.spec) > 0 {
+			list = append(list, s)
+		}
+	}
+	if q.Advice == nil {
+		for _, s := range p.servers {
+			add(s)
+		}
+	}
+	for n := range st.advised.known {
+		if ap := &st.advised.known[n]; ap.ok {
+			add(e.servers[ap.server])
+		}
+	}
+	tasks = min(tasks, p.claims, len(list))
+	if tasks <= 0 {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b *server) int { return cmp.Compare(b.free(), a.free()) })
+	for _, s := range list[:tasks] {
+		s.claimedBy = st
+	}
+	p.claims -= tasks
+}
+
+// free is the processor that nothing uses.
+func (s *server) free() int64 { return s.info.Capacity.MilliCPU - s.used.MilliCPU }
+
 func serversOf(runs []*run) []string {
 	var ids []string
 	for _, r := range runs {
@@ -364,6 +470,9 @@
 	if st.spec.Gang {
 		need *= gangAskFactor
 	}
+	if e.backlogMS > widenBacklogMS {
+		need = max(need, widenPart*q.Advice.DecisionMS/max(q.Advice.PerServerMS, 1e-6))
+	}
 	n := min(int(math.Ceil(need))+spareCandidates, len(list), maxAskedServers)
 	ids := make([]string, n)
 	for k := range ids {
@@ -416,8 +525,8 @@
 	if q.Advice != nil && st.advised.asking == 0 && e.now >= st.advised.nextAt {
 		e.askMore(p, st, q, width)
 	}
-	if st.advised.asking == 0 && p.claims < maxGangClaims && e.claimFor(p, st, q) {
-		p.claims++
+	if st.advised.asking == 0 && e.lateness(st) == inTime {
+		e.claimFor(p, st, q)
 	}
 }
 
@@ -471,7 +580,7 @@
 }
 
 // claimFor keeps enough approved servers from work of lower rank until the gang fits on them.
-func (e *Engine) claimFor(p *pass, st *step, q *ibisjob.Queue) bool {
+func (e *Engine) claimFor(p *pass, st *step, q *ibisjob.Queue) {
 	type choice struct {
 		server *server
 		slots  int // when what is not a gang has ended there
@@ -490,7 +599,7 @@
 			}
 		}
 		if n := slotsFor(room, st.spec); n > 0 {
-			list = append(list, choice{s, n, s.info.Capacity.MilliCPU - s.used.MilliCPU})
+			list = append(list, choice{s, n, s.free()})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b choice) int { return cmp.Compare(b.free, a.free) })
@@ -499,12 +608,13 @@
 		left -= list[n].slots
 		n++
 	}
-	if left > 0 {
-		return false
+	if left > 0 || n > p.claims && p.claimed > 0 {
+		return
 	}
+	p.claimed += n
+	p.claims -= n
 	for _, c := range list[:n] {
 		c.server.claimedBy = st
 	}
 	e.log.WithFields(log.Fields{"Step": st.name, "Tasks": len(st.tasks), "Servers": n}).Debug("GangClaims")
-	return true
 }
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	tickEvery     = 10 * time.Millisecond   // of the engine while nothing happens
+	tickEvery     = 15 * time.Millisecond   // of the engine while nothing happens
+	tickSoon      = 4 * time.Millisecond    // after an event
 	beatEvery     = 250 * time.Millisecond  // between commits, so that others see a leader that is alive
 	serversEvery  = 400 * time.Millisecond  // between reads of the list of backend servers; a leaving one is known within 500 ms
 	configEvery   = 500 * time.Millisecond  // between reads of the configuration, which must apply within 2 s
@@ -118,9 +119,10 @@
 
 // run owns the engine until the term is over.
 func (t *term) run(e *ibiscell.Engine) {
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTimer(0)
 	defer tick.Stop()
-	var loadAt, linksAt ibiscell.Time
+	var loadAt, linksAt, tickAt ibiscell.Time
+	idle := true
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -128,11 +130,20 @@
 		case fn := <-t.events:
 			fn(e)
 			t.drain(e)
+			if idle { // events that come together share one tick
+				idle = false
+				tick.Reset(tickSoon)
+			}
 		case <-tick.C:
+			idle = true
+			tick.Reset(tickEvery)
 		}
 		now := t.n.clock.Now()
-		e.SetUnixTime(now, t.n.clock.UnixMS())
-		e.Tick(now)
+		if idle || now-tickAt >= tickSoon.Milliseconds() {
+			tickAt = now
+			e.SetUnixTime(now, t.n.clock.UnixMS())
+			e.Tick(now)
+		}
 		for _, c := range e.Commands() {
 			t.do(c)
 		}
@@ -179,7 +190,7 @@
 	l := e.Load()
 	t.log.WithFields(log.Fields{
 		"Jobs": l.Jobs, "ReadySteps": l.ReadySteps, "Runs": l.Runs, "Servers": l.Servers, "Usable": l.Usable,
-		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links, "Asks": l.Asks, "BacklogMS": l.BacklogMS,
+		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links, "Asks": l.Asks, "IdleHelpers": l.IdleHelpers, "BacklogMS": l.BacklogMS,
 	}).Info("CellLoad")
 	if t.reports++; t.reports%handOverEvery == 0 {
 		t.handOver(t.n.set.Power / weakPower)
