Hand the lead to the daemon that has started last; ask for advice while a job is written

Change: pings say that a daemon is being stopped; the lead goes to the strong daemon that has started last. Advice is now asked for while the job's row is written.

--- a/ibiscell/caller.go
+++ b/ibiscell/caller.go
@@ -41,6 +41,7 @@
 	e.jobs[spec.ID] = j
 	e.touch(j, func() { e.accepted(j) })
 	j.dirt.job = true
+	e.begin(j) // advice is asked for while the row is written; no task starts before that
 }
 
 // beyondShare reports whether the cell is so full that a team may not submit more than its weight in jobs a
@@ -82,6 +83,8 @@
 		}
 		j.log(e).WithField("AgeMS", e.now-j.acceptedAt).Info("JobRefusedNotWritten")
 		delete(e.jobs, j.spec.ID)
+		j.state = ibisjob.Canceled // nothing of it has been started
+		e.releaseAll(j)
 		for _, to := range j.waiters {
 			e.send(Answer{To: to, Outcome: Rejected, RetryMS: tableRetryMS})
 		}
@@ -89,6 +92,19 @@
 	e.journal.queue = kept
 }
 
+// releaseAll gives up the room that a job keeps whose tasks have not been started.
+func (e *Engine) releaseAll(j *job) {
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			for _, t := range st.tasks {
+				if t.run != nil {
+					e.release(t.run)
+				}
+			}
+		}
+	}
+}
+
 func (e *Engine) accepted(j *job) {
 	j.accepted = true
 	j.log(e).WithFields(log.Fields{"Steps": len(j.spec.Steps), "CommitMS": e.now - j.acceptedAt}).Info("JobAccepted")
@@ -96,9 +112,6 @@
 		e.send(Answer{To: to, Outcome: OK})
 	}
 	j.waiters = nil
-	if !j.state.Final() {
-		e.begin(j)
-	}
 }
 
 // begin opens the steps of a job, or waits for its first time.
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -14,6 +14,7 @@
 	state       ibisjob.State
 	shown       ibisjob.State
 	started     bool
+	assigned    bool // a task has been assigned to a server
 	accepted    bool // its row is committed
 	acceptedAt  Time
 	occurrences []*occurrence // those that have begun and have not ended
@@ -178,6 +179,7 @@
 	r.ticket = ticket
 	e.setState(r, runJournaling)
 	j := r.task.step.occ.job
+	j.assigned = true
 	e.touch(j, func() { e.startAssigned(r) })
 }
 
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -165,6 +165,9 @@
 		}
 	case j.dirt.job:
 		b.Puts = append(b.Puts, Row{TableJobs, key, encode(j.spec)})
+		if j.assigned {
+			b.Puts = append(b.Puts, Row{TableProgress, key, encode(j.progress())})
+		}
 	default:
 		b.Puts = append(b.Puts, Row{TableProgress, key, encode(j.progress())})
 	}
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -253,3 +253,35 @@
 	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
 	assert.Assert(t, asks <= 5, "%d calls for three rounds on two servers", asks)
 }
+
+func TestAdviceIsAskedForWhileTheJobIsWritten(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.commitMS = 300 // a slow table
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "wide", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(1000, 10)})})
+	asked := false
+	w.onAdvise = func(ibiscell.Advise) { asked = true }
+	w.run(100)
+	assert.Assert(t, asked)
+	assert.Equal(t, len(w.starts), 0, "nothing starts before it is written")
+	w.run(2000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
+
+func TestJobThatCannotBeWrittenLeavesNothingBehind(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(20)
+	w.down = true
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 3, Size: size(5000, 10)})})
+	w.run(100)
+	w.e.CommitFailing(w.now)
+	w.run(20)
+	assert.Equal(t, w.answers[1].Outcome, ibiscell.Rejected)
+	w.down = false
+	w.e.Confirmed(w.now)
+	w.submit(2, ibisjob.Job{ID: jobID(2), Queue: "bulk", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 3, Size: size(5000, 10)})})
+	w.run(500)
+	assert.Equal(t, w.state(jobID(2)), ibisjob.Completed)
+	assert.Equal(t, len(w.starts), 3)
+	assert.Equal(t, w.e.Load().Used.MilliCPU, int64(0))
+}
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -57,6 +57,7 @@
 	Name    string  `cbor:"1,keyasint"`
 	Address string  `cbor:"2,keyasint"`
 	Power   float64 `cbor:"3,keyasint"` // work that its VM does in a second, in cores
+	Started int64   `cbor:"4,keyasint"` // Unix time of its start, in milliseconds
 }
 
 // advised is the outcome of one call to the advice service.
@@ -71,6 +72,7 @@
 type ping struct {
 	At      ibiscell.Time `cbor:"1,keyasint"`
 	Version int64         `cbor:"2,keyasint"` // of the sender's configuration
+	Leaving bool          `cbor:"3,keyasint,omitempty"`
 }
 
 // pong answers a ping.
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -24,6 +24,8 @@
 	member
 	out    *outbox
 	pingAt atomic.Int64 // of the last ping, on the node's clock
+
+	leaving atomic.Bool // the other end is being stopped
 }
 
 // serveLink serves a link that another daemon has opened.
@@ -116,6 +118,7 @@
 	}
 	if f.Ping != nil {
 		l.pingAt.Store(t.n.clock.Now())
+		l.leaving.Store(f.Ping.Leaving)
 		l.out.put(&frame{Pong: t.pong(f.Ping)})
 	}
 }
@@ -230,7 +233,7 @@
 				n.log.WithFields(log.Fields{"Leader": leader.Name, "Epoch": leader.Epoch}).Info("LeaderFound")
 			}
 			f.take(ctx, m)
-			if m.Succeed != nil {
+			if m.Succeed != nil && !n.isDraining() {
 				return linked, m.Succeed
 			}
 		case <-tick.C:
@@ -249,7 +252,7 @@
 
 func (f *follower) ping() *ping {
 	_, version := f.n.vouch()
-	return &ping{At: f.n.clock.Now(), Version: version}
+	return &ping{At: f.n.clock.Now(), Version: version, Leaving: f.n.isDraining()}
 }
 
 // take handles a message of the leader.
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -72,6 +72,7 @@
 	log       log.Interface
 	registry  metrics.Registry
 	advising  sync.Mutex
+	startedMS int64 // Unix time
 	latency   latency
 
 	mu       sync.Mutex
@@ -95,7 +96,7 @@
 	return &Node{
 		set: set, table: p.Table, directory: p.Directory, servers: p.Servers, advisor: p.Advisor, clock: p.Clock,
 		log: p.Log, registry: p.Registry, changed: make(chan struct{}), away: make(map[string]bool),
-		vouchAt: neverVouched, lostAt: p.Clock.Now(),
+		vouchAt: neverVouched, lostAt: p.Clock.Now(), startedMS: p.Clock.UnixMS(),
 	}
 }
 
--- a/ibisnode/node_test.go
+++ b/ibisnode/node_test.go
@@ -358,3 +358,21 @@
 		assert.Equal(t, m.events.count("LeaderCannotWrite"), 0)
 	}
 }
+
+// TestRollingRestartKeepsOffDaemonsThatStop stops daemons in turn. The lead goes to the daemon that has started
+// last, and never to one that is being stopped.
+func TestRollingRestartKeepsOffDaemonsThatStop(t *testing.T) {
+	g := newGroup(t, 1, 1, 1)
+	newest := g.join(1)
+	g.awaitServing(newest)
+	stopping := g.members[0]
+	if stopping.leads() {
+		stopping = g.members[1]
+	}
+	old := g.leader()
+	stopping.HandOver()         // it does not lead, and says that it is being stopped
+	time.Sleep(2 * time.Second) // eight pings
+	old.HandOver()
+	ibisharness.Eventually(t, 10*time.Second, "the newest daemon leads", newest.leads)
+	assert.Equal(t, stopping.events.count("LeadTaken"), 0)
+}
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -89,7 +89,7 @@
 func (m member) hash() uint64 { return xxhash.Sum64String(m.Name) }
 
 func (n *Node) member() member {
-	return member{Name: n.set.Name, Address: n.set.Address, Power: n.set.Power}
+	return member{Name: n.set.Name, Address: n.set.Address, Power: n.set.Power, Started: n.startedMS}
 }
 
 func (n *Node) setMembers(all []member) {
@@ -369,13 +369,18 @@
 	t.handOver(0)
 }
 
-// handOver asks the strongest linked daemon to take the lead, if it has more power than given.
+// handOver asks a linked daemon to take the lead, if it has more power than given: a strong one, and of these
+// the one that has started last, since daemons are often restarted in turn. One that is being stopped itself
+// is not asked.
 func (t *term) handOver(above float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *link
 	for l := range t.links {
-		if best == nil || l.Power > best.Power || l.Power == best.Power && l.hash() < best.hash() {
+		if l.leaving.Load() {
+			continue
+		}
+		if best == nil || l.Power > best.Power || l.Power == best.Power && l.Started > best.Started {
 			best = l
 		}
 	}
