--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -14,6 +14,7 @@
 	state       ibisjob.State
 	shown       ibisjob.State
 	started     bool
+	startedAt   Time // 0: by an earlier leader, or not yet
 	assigned    bool // a task has been assigned to a server
 	accepted    bool // its row is committed
 	acceptedAt  Time
@@ -289,6 +290,7 @@
 		return
 	}
 	j.started, j.state, j.shown = true, ibisjob.Active, ibisjob.Active
+	j.startedAt = e.now
 	e.touch(j, nil)
 }
 
@@ -499,7 +501,7 @@
 	if e.jobs[j.spec.ID] == j {
 		delete(e.jobs, j.spec.ID)
 	}
-	j.log(e).WithFields(log.Fields{"State": string(j.state), "AgeMS": e.now - j.acceptedAt}).Info("JobEnded")
+	j.log(e).WithFields(log.Fields{"State": string(j.state), "AgeMS": e.now - j.acceptedAt, "StartedAfterMS": max(j.startedAt-j.acceptedAt, 0)}).Info("JobEnded")
 }
 
 func (e *Engine) runLog(r *run) *log.Entry {
--- a/ibisdaemon/doc_test.go
+++ b/ibisdaemon/doc_test.go
@@ -34,6 +34,9 @@
 	t.Helper()
 	paths, err := filepath.Glob("../ibis*/*.go")
 	assert.NilError(t, err)
+	adapter, err := filepath.Glob("../platform/*.go")
+	assert.NilError(t, err)
+	paths = append(paths, adapter...)
 	assert.Assert(t, len(paths) > 0)
 	for _, path := range paths {
 		if strings.HasSuffix(path, "_test.go") {
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -169,7 +169,7 @@
 }
 
 func (n *Node) gauge(name string, v int) {
-	metrics.GetOrRegisterGauge(name, n.registry).Update(int64(v)) //nolint:misspell
+	metrics.GetOrRegisterGauge(name, n.registry).Update(int64(v))
 }
 
 // lost notes that something this daemon depends on does not answer; only the first failure is logged.
