--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -27,7 +27,6 @@
 	Removes []Row // without values
 	jobs    []*job
 	effects []func()
-	change  int64
 }
 
 // MaxBatchRows bounds the rows of a batch; the platform takes 100 entries in a transaction, two of which
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -414,7 +414,7 @@
 func (t *term) probe(m member) {
 	conn, err := net.DialTimeout("tcp", m.Address, probeTimeout)
 	if err == nil {
-		conn.Close()
+		_ = conn.Close() // it was only to see whether somebody listens
 	}
 	if t.ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
 		return
