Write ended jobs of a batch in one row, and remove their rows when a batch has room

Now two or three entries, and removals only where a batch has room. TestRowsThatAFormerLeaderLeftBehindAreRemoved failed first; TestSlowTableTakesMoreJobsThanRows also passes on the former code and only guards the removals.

--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -290,8 +290,7 @@
 		return
 	}
 	j.started, j.state, j.shown = true, ibisjob.Active, ibisjob.Active
-	j.startedAt = e.now
-	e.touch(j, nil)
+	j.startedAt = e.now // written with the next change: after a takeover the servers' lists say it too
 }
 
 // startRefused handles a start that the server has turned down. After an earlier try without a reply the
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -1,6 +1,8 @@
 package ibiscell
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"ibiscrank/ibisjob"
@@ -11,7 +13,7 @@
 const (
 	TableJobs     = "Jobs"     // the job as it was accepted
 	TableProgress = "Progress" // what has become of its tasks
-	TableEnded    = "Ended"    // its final state
+	TableEnded    = "Ended"    // final states, a row for each batch that had some
 )
 
 // Row is one row of the journal.
@@ -25,6 +27,7 @@
 type Batch struct {
 	Puts    []Row
 	Removes []Row // without values
+	ended   []endedJob
 	jobs    []*job
 	effects []func()
 }
@@ -33,6 +36,9 @@
 // are the leader's own.
 const MaxBatchRows = 96
 
+// rowsOfJob is the most rows that one job adds to a batch.
+const rowsOfJob = 2
+
 // maxBatchBytes bounds the values of a batch; the platform takes 1 MB in a call, in base64.
 const maxBatchBytes = 600_000
 
@@ -77,6 +83,13 @@
 	Checkpoint string
 }
 
+// endedJob is one entry of a row of ended jobs.
+type endedJob struct {
+	_   struct{} `cbor:",toarray"`
+	ID  ibisjob.ID
+	End Ended
+}
+
 // Ended is the record of a job that has ended.
 type Ended struct {
 	_     struct{} `cbor:",toarray"`
@@ -91,6 +104,8 @@
 type journal struct {
 	lastChange  int64
 	queue       []*job
+	removes     []Row // rows of ended jobs, removed when a batch has room
+	batches     int64 // with ended jobs, of this leader
 	flying      bool
 	flyingSince Time
 	failing     bool
@@ -128,26 +143,33 @@
 }
 
 // Dirty reports whether anything waits for a commit.
-func (e *Engine) Dirty() bool { return len(e.journal.queue) > 0 }
+func (e *Engine) Dirty() bool { return len(e.journal.queue) > 0 || len(e.journal.removes) > 0 }
 
 // TakeBatch takes the changes that are to be committed next, or nil. One batch is under way at a time:
 // Committed or NotCommitted must follow.
 func (e *Engine) TakeBatch(now Time) *Batch {
 	e.now = now
-	if e.journal.flying || len(e.journal.queue) == 0 {
+	if e.journal.flying || !e.Dirty() {
 		return nil
 	}
 	b := &Batch{}
 	n, size := 0, 0
 	for _, j := range e.journal.queue {
-		rows := len(b.Puts) + len(b.Removes)
-		if rows+3 > MaxBatchRows || size > maxBatchBytes {
+		if len(b.Puts)+rowsOfJob+1 > MaxBatchRows || size > maxBatchBytes {
 			break
 		}
 		size += e.addRows(b, j)
 		n++
 	}
 	e.journal.queue = append([]*job(nil), e.journal.queue[n:]...)
+	if len(b.ended) > 0 {
+		e.journal.batches++
+		key := fmt.Sprintf("%010d-%010d", e.set.Epoch, e.journal.batches)
+		b.Puts = append(b.Puts, Row{TableEnded, key, encode(b.ended)})
+	}
+	gone := min(MaxBatchRows-len(b.Puts), len(e.journal.removes))
+	b.Removes = append(b.Removes, e.journal.removes[:gone]...)
+	e.journal.removes = append([]Row(nil), e.journal.removes[gone:]...)
 	e.journal.flying, e.journal.flyingSince = true, now
 	return b
 }
@@ -158,9 +180,12 @@
 	before := len(b.Puts)
 	switch {
 	case j.state.Final():
-		b.Puts = append(b.Puts, Row{TableEnded, key, encode(j.end(e.unixOffset + e.now))})
+		b.ended = append(b.ended, endedJob{ID: j.spec.ID, End: j.end(e.unixOffset + e.now)})
 		if j.accepted {
-			b.Removes = append(b.Removes, Row{Table: TableJobs, Key: key}, Row{Table: TableProgress, Key: key})
+			e.journal.removes = append(e.journal.removes, Row{Table: TableJobs, Key: key})
+			if j.assigned {
+				e.journal.removes = append(e.journal.removes, Row{Table: TableProgress, Key: key})
+			}
 		}
 	case j.dirt.job:
 		b.Puts = append(b.Puts, Row{TableJobs, key, encode(j.spec)})
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -285,3 +285,41 @@
 	assert.Equal(t, len(w.starts), 3)
 	assert.Equal(t, w.e.Load().Used.MilliCPU, int64(0))
 }
+
+func TestSlowTableTakesMoreJobsThanRows(t *testing.T) {
+	w := newWorld(t, 40)
+	w.run(20)
+	w.commitMS = 500
+	for n := range 300 { // 100 a second, for three seconds
+		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "quick", Spec: "300", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(1000, 10), EstimateMS: 300})})
+		w.run(10)
+	}
+	w.commitMS = 12
+	w.run(1000)
+	for n := range 300 {
+		assert.Equal(t, w.state(jobID(n)), ibisjob.Completed)
+	}
+	w.run(1000)
+	assert.Equal(t, len(w.table[ibiscell.TableJobs])+len(w.table[ibiscell.TableProgress]), 0)
+}
+
+func TestRowsThatAFormerLeaderLeftBehindAreRemoved(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "quick", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(1000, 10)})})
+	w.run(60)
+	jobs, progress := w.table[ibiscell.TableJobs], w.table[ibiscell.TableProgress]
+	left := map[string][]byte{}
+	for k, v := range jobs {
+		left[k] = v
+	}
+	assert.Assert(t, len(left) == 1 && len(progress) == 1)
+	w.run(300)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	w.table[ibiscell.TableJobs] = left
+	w.lead()
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	w.run(300)
+	assert.Equal(t, len(w.table[ibiscell.TableJobs]), 0)
+	assert.Equal(t, len(w.starts), 1)
+}
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -12,15 +12,20 @@
 func (e *Engine) Recover(now Time, jobs, progress, ended []Row) {
 	e.now, e.lastCommit = now, now
 	for _, row := range ended {
-		var end Ended
-		if err := cbor.Unmarshal(row.Value, &end); err != nil {
+		var list []endedJob
+		if err := cbor.Unmarshal(row.Value, &list); err != nil {
 			e.unreadable(row, err)
 			continue
 		}
-		e.ended[ibisjob.ID(row.Key)] = end
+		for _, j := range list {
+			e.ended[j.ID] = j.End
+		}
 	}
 	records := make(map[string]Progress, len(progress))
 	for _, row := range progress {
+		if e.removeEnded(row) {
+			continue
+		}
 		var p Progress
 		if err := cbor.Unmarshal(row.Value, &p); err != nil {
 			e.unreadable(row, err)
@@ -29,6 +34,9 @@
 		records[row.Key] = p
 	}
 	for _, row := range jobs {
+		if e.removeEnded(row) {
+			continue
+		}
 		var spec ibisjob.Job
 		err := cbor.Unmarshal(row.Value, &spec)
 		if err == nil {
@@ -44,6 +52,15 @@
 	e.log.WithFields(log.Fields{"Jobs": len(e.jobs), "Ended": len(e.ended), "Epoch": e.set.Epoch}).Info("CellRecovered")
 }
 
+// removeEnded has a row removed that a former leader has left behind of a job that has ended.
+func (e *Engine) removeEnded(row Row) bool {
+	if _, ok := e.ended[ibisjob.ID(row.Key)]; !ok {
+		return false
+	}
+	e.journal.removes = append(e.journal.removes, Row{Table: row.Table, Key: row.Key})
+	return true
+}
+
 func (e *Engine) unreadable(row Row, err error) {
 	e.log.WithFields(log.Fields{"Table": row.Table, "Key": row.Key}).WithError(err).Error("JournalRowUnreadable")
 }
@@ -59,7 +76,7 @@
 		e.begin(j)
 		return
 	}
-	j.nextTime = p.NextTime
+	j.nextTime, j.assigned = p.NextTime, true
 	for _, rec := range p.Occurrences {
 		occ := e.newOccurrence(j, rec.N)
 		for n := range rec.Steps {
