--- a/ibiscell/caller.go
+++ b/ibiscell/caller.go
@@ -9,6 +9,7 @@
 const (
 	tableRetryMS  = 1500 // callers come back after this time while the table cannot be written
 	tableSilentMS = 700  // without a commit that was due: the table counts as away
+	freshCommitMS = 800  // a leader commits four times a second
 	allowanceS    = 2    // seconds of a team's rate that it may submit at once
 	fullBacklogMS = 1200 // of waiting work: about the slack of the most urgent jobs
 	fullRetryMS   = 2000
@@ -153,7 +154,7 @@
 	}
 	j := e.jobs[id]
 	if j == nil {
-		e.send(Answer{To: to, Outcome: NotFound})
+		e.send(Answer{To: to, Outcome: e.absent()})
 		return
 	}
 	if !j.state.Final() {
@@ -172,11 +173,20 @@
 	} else if j := e.jobs[id]; j != nil && j.accepted {
 		a.State = j.shown
 	} else {
-		a.Outcome = NotFound
+		a.Outcome = e.absent()
 	}
 	e.send(a)
 }
 
+// absent is the answer about a job that is not here. Without a commit in the last while, another daemon may
+// lead and have accepted it: then the caller's daemon asks again.
+func (e *Engine) absent() Outcome {
+	if e.now-e.lastCommit > freshCommitMS {
+		return Moved
+	}
+	return NotFound
+}
+
 // tableAway reports whether commits that were due have not come back for long.
 func (e *Engine) tableAway() bool {
 	return e.journal.failing || e.journal.flying && e.now-e.journal.flyingSince > tableSilentMS
--- a/ibiscell/engine_test.go
+++ b/ibiscell/engine_test.go
@@ -225,3 +225,21 @@
 	assert.Assert(t, len(w.starts) >= 3)
 	assert.Equal(t, w.state(jobID(1)), ibisjob.Active)
 }
+
+func TestLeaderWithoutFreshCommitDeniesNoJob(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(20)
+	ask := func() ibiscell.Outcome {
+		w.e.Status(w.now, 7, jobID(1))
+		for _, c := range w.e.Commands() {
+			w.do(c)
+		}
+		return w.answers[7].Outcome
+	}
+	w.e.Confirmed(w.now)
+	assert.Equal(t, ask(), ibiscell.NotFound)
+	w.now += 4000 // the VM was frozen; another daemon may have taken the lead
+	assert.Equal(t, ask(), ibiscell.Moved)
+	w.e.Confirmed(w.now)
+	assert.Equal(t, ask(), ibiscell.NotFound)
+}
