Let the lists of a backend server's later life decide about runs of the earlier one

The engine declared all runs lost at once, started them elsewhere, and took no note of the end. And a hold after one without an answer acknowledged ends by the numbers of the earlier life. Ruled out: a former leader (none in these seconds; the epoch fences it). Change: the runs are kept until the later life's first lists; a hold after a missed one acknowledges nothing. TestOrderThatReachesALaterLifeIsNotForgotten failed first, three ways.

--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -343,9 +343,13 @@
 	switch r.state {
 	case runSent, runRecovered:
 		e.setState(r, runRunning)
-		e.noteStarted(r.task.step.occ.job)
 		r.since = sentAt // it is in a list that was asked for then
 		r.movedAt = e.now
+		if r.task.done || r.task.step.occ.job.state.Final() {
+			e.stopRun(r)
+			return
+		}
+		e.noteStarted(r.task.step.occ.job)
 	case runStopping:
 		if r.stopped && e.now-r.since > orderRetryMaxMS {
 			r.stopped, r.tries = false, 0
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -323,3 +323,29 @@
 	assert.Equal(t, len(w.table[ibiscell.TableJobs]), 0)
 	assert.Equal(t, len(w.starts), 1)
 }
+
+// TestOrderThatReachesALaterLifeIsNotForgotten lets a server start again in place while a start is on its way:
+// the start runs in the later life before the engine knows of it.
+func TestOrderThatReachesALaterLifeIsNotForgotten(t *testing.T) {
+	for _, how := range []string{"list", "hold", "takeover"} {
+		t.Run(how, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.run(20)
+			w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "800", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(15000, 10), EstimateMS: 800})})
+			w.run(100)
+			s := w.servers["s00"]
+			// The later life has the run, as if the start had come after the restart.
+			s.info.Born, s.lastN, s.ended, s.stopped = 2, 0, nil, map[string]int64{}
+			s.accepts = true
+			switch how {
+			case "list":
+				w.list()
+			case "takeover":
+				w.lead()
+			}
+			w.run(3000) // the world checks that nothing runs twice
+			assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+			assert.Equal(t, len(w.starts), 2)
+		})
+	}
+}
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -126,12 +126,9 @@
 }
 
 // recoverRun takes up a run that a former leader has assigned. The server's lists will show what became of
-// it; if the server is in a later life, it has ended.
+// it, also when the server is in a later life: the order may have reached that one.
 func (e *Engine) recoverRun(t *task, ref ServerRef) {
 	s := e.servers[ref.ID]
-	if s != nil && ref.Born != 0 && s.info.Born > ref.Born {
-		return
-	}
 	if s == nil {
 		s = e.addServer(ServerInfo{Target: Target{ID: ref.ID, Born: ref.Born}})
 	}
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -98,7 +98,6 @@
 		return // the list lags behind what the server itself has said
 	case info.Born != s.info.Born && s.info.Born != 0:
 		e.reborn(s, info)
-		s = e.servers[info.ID]
 	case s.info.Born == 0:
 		s.info.Born = info.Born
 	}
@@ -123,11 +122,21 @@
 // stretched is the longest time on our clock in which a server's clock advances by ms.
 func stretched(ms int64) int64 { return ms*100/(100-clockDriftPercent) + 1 }
 
-// reborn replaces a life of a server by a later one: what ran there has ended.
+// reborn takes note that s is in a later life. What ran in the earlier one has ended, but an order that was
+// sent meanwhile may have reached the later one, so its lists decide about every run.
 func (e *Engine) reborn(s *server, info ServerInfo) {
 	e.serverLog(s).WithFields(log.Fields{"NewBorn": info.Born, "Runs": len(s.runs)}).Info("ServerReborn")
-	e.loseRuns(s, EndLost)
-	e.addServer(info) // a hold that is under way at the earlier life says nothing of this one
+	s.info = info
+	s.reached, s.holding, s.missed, s.nextHold = false, false, false, e.now
+	s.seenEnd, s.ackedEnd, s.unacked, s.foreign = 0, 0, nil, 0
+	s.failRow, s.asideUntil, s.asidePause = 0, 0, 0
+	for _, r := range s.runs {
+		switch r.state {
+		case runRunning, runStopping:
+			e.setState(r, runRecovered)
+		}
+	}
+	e.replace = true
 }
 
 // loseRuns ends every run of s that its lists do not show any more.
@@ -177,8 +186,9 @@
 
 func (e *Engine) hold(s *server) {
 	s.holding, s.holdAt = true, e.now
-	h := Hold{Target: s.info.Target, Epoch: e.set.Epoch, Acked: s.ackedEnd}
-	if s.reached && !s.missed {
+	h := Hold{Target: s.info.Target, Epoch: e.set.Epoch}
+	if s.reached && !s.missed { // else it may be in another life, whose ends have the same numbers
+		h.Acked = s.ackedEnd
 		h.WaitMS = e.set.HoldWaitMS
 		h.LeaseEndMS = e.leaseEnd(s)
 	}
@@ -210,7 +220,6 @@
 		info := s.info
 		info.Born = r.Target.Born
 		e.reborn(s, info)
-		s = e.servers[r.Target.ID]
 	}
 	if !s.reached {
 		e.claimed(s)
--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -52,6 +52,7 @@
 	cut     bool
 	mute    bool                  // orders are carried out and not answered
 	fails   bool                  // all runs fail
+	accepts bool                  // takes orders that are meant for another life, as a server does that keeps its ID
 	refuse  ibiscell.OrderOutcome // of starts
 	stopped map[string]int64
 	waiting func()
@@ -238,7 +239,7 @@
 			w.after(500, func() { reply(ibiscell.OrderUnknown) })
 			return
 		}
-		if s.info.Born != t.Born {
+		if s.info.Born != t.Born && !s.accepts {
 			reply(ibiscell.OrderReplaced)
 			return
 		}
@@ -294,7 +295,7 @@
 		case s == nil || s.cut:
 			w.after(1500, func() { w.e.HoldFailed(w.now, c.Target, ibiscell.OrderUnknown) })
 			return
-		case s.info.Born != c.Target.Born:
+		case s.info.Born != c.Target.Born && !s.accepts:
 			w.e.HoldFailed(w.now, c.Target, ibiscell.OrderReplaced)
 			return
 		case c.Epoch < s.epoch:
