--- a/ibisnode/handover.go
+++ b/ibisnode/handover.go
@@ -4,10 +4,17 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 )
 
+const (
+	silentLink   = 800 * time.Millisecond  // without a ping: the other end cannot be reached
+	vacatedFor   = 1200 * time.Millisecond // a daemon that has given up the lead leaves it to others for this long
+	probeTimeout = 400 * time.Millisecond  // of a look whether a daemon that has left is gone
+)
+
 // HandOver makes another daemon lead, if this one does, and refuses to lead again.
 func (n *Node) HandOver() {
 	n.mu.Lock()
--- a/ibisnode/member.go
+++ b/ibisnode/member.go
@@ -6,6 +6,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const (
+	rankStep  = 60 * time.Millisecond  // between the tries of two daemons
+	weakRank  = 700 * time.Millisecond // for VMs that are much weaker than the strongest
+	weakPower = 0.5                    // of the strongest VM's power, below which a VM is weak
+	rankSlots = 8                      // of daemons that know no others
+	weakCores = 0.3                    // power below which such a daemon is weak
+)
+
 // rank is how long this daemon waits before it tries to lead, so that not all try at once. Strong VMs come
 // first: a leader on a weak one would slow down all.
 func (n *Node) rank(gone string) time.Duration {
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -22,10 +22,7 @@
 	getTimeout    = 1500 * time.Millisecond
 	scanTimeout   = 4 * time.Second
 	takeTries     = 6
-	silentLink    = 800 * time.Millisecond  // without a ping: the other end cannot be reached
-	vacatedFor    = 1200 * time.Millisecond // a daemon that has given up the lead leaves it to others for this long
-	probeTimeout  = 400 * time.Millisecond  // of a look whether a daemon that has left is gone
-	peersAsked    = 3                       // daemons that are asked for the leader in one round
+	peersAsked    = 3 // daemons that are asked for the leader in one round
 )
 
 // leaderRow is the row that says who leads the cell.
@@ -44,14 +41,6 @@
 	silent  bool // the leader has been found silent; it is not called again before its row changes
 }
 
-const (
-	rankStep  = 60 * time.Millisecond  // between the tries of two daemons
-	weakRank  = 700 * time.Millisecond // for VMs that are much weaker than the strongest
-	weakPower = 0.5                    // of the strongest VM's power, below which a VM is weak
-	rankSlots = 8                      // of daemons that know no others
-	weakCores = 0.3                    // power below which such a daemon is weak
-)
-
 // seek looks for the leader, follows it, and takes its place when it is gone.
 func (n *Node) seek(ctx context.Context) {
 	var seen sighting
