Forget ended jobs after ten minutes

Rows of ended jobs go when the last of them ended ten minutes ago, five times as long as callers must be shown an end. TestEndedJobsAreForgottenInTime fails without it (the job is still known).

--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -164,6 +164,7 @@
 	e.resend()
 	e.startOccurrences()
 	e.expireAsks()
+	e.forgetEnded()
 	if e.replace && now >= e.placedAt+e.placeGap() || now >= e.placedAt+placeEveryMS {
 		e.place()
 	}
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -36,6 +36,46 @@
 // are the leader's own.
 const MaxBatchRows = 96
 
+// endedRow is a row of ended jobs, kept until the last of them may be forgotten.
+type endedRow struct {
+	key  string
+	ids  []ibisjob.ID
+	atMS int64 // Unix time of the last end
+}
+
+const (
+	keepEndedMS   = 600_000 // callers are shown a job's end for 120 s at least, from the platform's page
+	forgetEveryMS = 5_000
+)
+
+// forgetEnded drops jobs that ended long ago, and has their rows removed.
+func (e *Engine) forgetEnded() {
+	if e.now < e.journal.forgetAt {
+		return
+	}
+	e.journal.forgetAt = e.now + forgetEveryMS
+	rows := e.journal.endedRows
+	n := 0
+	for n < len(rows) && rows[n].atMS < e.unixOffset+e.now-keepEndedMS {
+		for _, id := range rows[n].ids {
+			delete(e.ended, id)
+		}
+		e.journal.removes = append(e.journal.removes, Row{Table: TableEnded, Key: rows[n].key})
+		n++
+	}
+	e.journal.endedRows = append([]endedRow(nil), rows[n:]...)
+}
+
+// noteEndedRow keeps in mind which jobs a row of ended jobs holds.
+func (e *Engine) noteEndedRow(key string, list []endedJob) {
+	row := endedRow{key: key}
+	for _, j := range list {
+		row.ids = append(row.ids, j.ID)
+		row.atMS = max(row.atMS, j.End.AtMS)
+	}
+	e.journal.endedRows = append(e.journal.endedRows, row)
+}
+
 // rowsOfJob is the most rows that one job adds to a batch.
 const rowsOfJob = 2
 
@@ -106,6 +146,8 @@
 	queue       []*job
 	removes     []Row // rows of ended jobs, removed when a batch has room
 	batches     int64 // with ended jobs, of this leader
+	endedRows   []endedRow
+	forgetAt    Time
 	flying      bool
 	flyingSince Time
 	failing     bool
@@ -166,6 +208,7 @@
 		e.journal.batches++
 		key := fmt.Sprintf("%010d-%010d", e.set.Epoch, e.journal.batches)
 		b.Puts = append(b.Puts, Row{TableEnded, key, encode(b.ended)})
+		e.noteEndedRow(key, b.ended)
 	}
 	gone := min(MaxBatchRows-len(b.Puts), len(e.journal.removes))
 	b.Removes = append(b.Removes, e.journal.removes[:gone]...)
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -349,3 +349,20 @@
 		})
 	}
 }
+
+func TestEndedJobsAreForgottenInTime(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "quick", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 10)})})
+	w.run(500)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	w.now += 590_000
+	w.lead() // the time counts over a takeover
+	w.run(100)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	w.now += 20_000
+	w.e.SetUnixTime(w.now, w.now+1_000_000)
+	w.run(100)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.State(""))
+	assert.Equal(t, len(w.table[ibiscell.TableEnded]), 0)
+}
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -1,6 +1,9 @@
 package ibiscell
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
@@ -17,10 +20,12 @@
 			e.unreadable(row, err)
 			continue
 		}
+		e.noteEndedRow(row.Key, list)
 		for _, j := range list {
 			e.ended[j.ID] = j.End
 		}
 	}
+	slices.SortFunc(e.journal.endedRows, func(a, b endedRow) int { return cmp.Compare(a.atMS, b.atMS) })
 	records := make(map[string]Progress, len(progress))
 	for _, row := range progress {
 		if e.removeEnded(row) {
