--- a/ibiscell/candidate.go
+++ b/ibiscell/candidate.go
@@ -88,7 +88,8 @@
 	return s.info.Service == q.Service && e.usable(s) && (st.spec.Label == "" || slices.Contains(s.info.Labels, st.spec.Label))
 }
 
-// slotsFor is how many tasks of the step fit into room. The processor of fillers is not counted.
+// slotsFor is how many tasks of the step fit into room. The processor of work that fills counts like any other:
+// sharing with services is not built.
 func slotsFor(room ibiswork.Resources, spec *ibisjob.Step) int {
 	n := math.MaxInt32
 	for _, f := range [...][2]int64{
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -384,7 +384,7 @@
 	return nil
 }
 
-// followDirectory keeps the list of backend servers and the configuration up to date.
+// followServers keeps the list of backend servers up to date.
 func (t *term) followServers() {
 	for t.n.sleep(t.ctx, serversEvery) {
 		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
@@ -399,6 +399,7 @@
 	}
 }
 
+// followConfig keeps the configuration up to date.
 func (t *term) followConfig() {
 	for t.n.sleep(t.ctx, configEvery) {
 		t.n.readConfig(t.ctx)
