Let callers' connections end with an answer when a daemon shuts down

Cause: http.Server.Shutdown closes every connection it believes to be idle, also one whose next request is already under way; that caller sees EOF and cannot know whether the request ran.

Ruled out: the gate (it answers and closes each connection that carries a request while it drains); the listener (the failed request had a kept connection).

Change: ibishttp.Drain counts connections, lets each carry one more request whose answer closes it, and waits up to a second for those that no caller uses; then Shutdown.

--- a/ibisdaemon/frontend.go
+++ b/ibisdaemon/frontend.go
@@ -14,6 +14,7 @@
 
 	"ibiscrank/ibischart"
 	"ibiscrank/ibisgate"
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibisrpc"
 	"ibiscrank/ibiswire"
 )
@@ -25,6 +26,7 @@
 	handOverPoll      = 50 * time.Millisecond
 	revokedDrain      = 8 * time.Second
 	closeTimeout      = 2 * time.Second
+	idleWait          = 1 * time.Second // of the above, for connections that no caller uses
 )
 
 // frontend is the daemon's listeners.
@@ -32,6 +34,7 @@
 	node  *node
 	gate  *ibisgate.Gate
 	http  *http.Server
+	conns ibishttp.Drain
 	rpc   *grpc.Server
 	drain ibischart.Machine
 }
@@ -48,6 +51,7 @@
 		return nil, Error.Wrap(err)
 	}
 	f.http = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	f.conns.Attach(f.http)
 	f.rpc = ibisrpc.NewServer(n.registry, n.methods()...)
 	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.stop})
 	return f, nil
@@ -108,6 +112,7 @@
 	}
 	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
+	f.endConnections(closeCtx)
 	if err := f.http.Shutdown(closeCtx); err != nil {
 		log.WithField("error", err).Warn("ConnectionsCutOff")
 		if err := f.http.Close(); err != nil {
@@ -118,6 +123,15 @@
 	return nil
 }
 
+// endConnections lets callers that go on sending learn from an answer that their connection ends.
+func (f *frontend) endConnections(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, idleWait)
+	defer cancel()
+	if err := f.conns.Await(ctx); err != nil {
+		log.WithField("error", err).Info("IdleConnectionsClosed")
+	}
+}
+
 // abandon lets callers be answered by the new holders of what this incarnation held.
 func (f *frontend) abandon(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, revokedDrain)
