Keep the leader while the table is slow for everyone

The leader sent a commit again after 250 ms, behind the first one, and after 0.9 s without a commit its followers tried to take the lead, five at a time. All of that waited in the same part, which then answered 429; the lead went round three times in 3.7 s and 805 jobs were refused.

Ruled out: the daemons' processors (0.13 of a core at most) and links (they closed after the takeovers).

Change: a commit without a reply is first looked for in the leader's row; as long as that read is slow, the commit is waited for, up to 1.5 s. A follower whose own read is slow supplants the leader after 3 s instead of 0.9 s.

--- a/ibisnode/node_test.go
+++ b/ibisnode/node_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,36 @@
 	mu     sync.Mutex
 	rows   map[string]ibisnode.Row
 	ver    int64
-	losing bool // carries commits out and loses the replies
+	losing bool          // carries commits out and loses the replies
+	slow   time.Duration // of a commit, which are carried out one after the other; a read takes half of it
+	busyTo time.Time     // by commits that were taken while slow
+}
+
+// refuseBeyond is the waiting time from which a slow table takes no more commits.
+const refuseBeyond = time.Second
+
+func (t *sharedTable) setSlow(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = d
+}
+
+func (t *sharedTable) slowness() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slow
+}
+
+// queue takes the next turn of a slow commit.
+func (t *sharedTable) queue() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := max(time.Until(t.busyTo), 0)
+	if wait > refuseBeyond {
+		return 0, false
+	}
+	t.busyTo = time.Now().Add(wait + t.slow)
+	return wait + t.slow, true
 }
 
 // tableView is a daemon's way to the table.
@@ -56,30 +86,56 @@
 	if err := v.check(ctx); err != nil {
 		return 0, err
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	if v.slowness() == 0 {
+		return v.apply(tx)
+	}
+	wait, ok := v.queue()
+	if !ok {
+		return 0, ibisnode.Unavailable.New("too many wait")
+	}
+	type result struct {
+		version int64
+		err     error
+	}
+	done := make(chan result, 1)
+	time.AfterFunc(wait, func() {
+		version, err := v.apply(tx)
+		done <- result{version, err}
+	})
+	select {
+	case r := <-done:
+		return r.version, r.err
+	case <-ctx.Done(): // it will be carried out all the same
+		return 0, ibisnode.Unknown.Wrap(ctx.Err())
+	}
+}
+
+func (t *sharedTable) apply(tx ibisnode.Tx) (int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	own := id(tx.Table, tx.Part, tx.Key)
-	if v.rows[own].Version != tx.Expected {
-		return 0, &ibisnode.ConflictError{Row: v.rows[own]}
+	if t.rows[own].Version != tx.Expected {
+		return 0, &ibisnode.ConflictError{Row: t.rows[own]}
 	}
-	v.ver++
-	v.rows[own] = ibisnode.Row{Key: tx.Key, Value: tx.Value, Version: v.ver}
+	t.ver++
+	t.rows[own] = ibisnode.Row{Key: tx.Key, Value: tx.Value, Version: t.ver}
 	for _, r := range tx.Puts {
-		v.rows[id(r.Table, tx.Part, r.Key)] = ibisnode.Row{Key: r.Key, Value: r.Value, Version: v.ver}
+		t.rows[id(r.Table, tx.Part, r.Key)] = ibisnode.Row{Key: r.Key, Value: r.Value, Version: t.ver}
 	}
 	for _, r := range tx.Removes {
-		delete(v.rows, id(r.Table, tx.Part, r.Key))
+		delete(t.rows, id(r.Table, tx.Part, r.Key))
 	}
-	if v.losing && v.ver%2 == 0 {
+	if t.losing && t.ver%2 == 0 {
 		return 0, ibisnode.Unknown.New("the reply was lost")
 	}
-	return v.ver, nil
+	return t.ver, nil
 }
 
 func (v *tableView) Get(ctx context.Context, table, part, key string) (ibisnode.Row, error) {
 	if err := v.check(ctx); err != nil {
 		return ibisnode.Row{}, err
 	}
+	time.Sleep(v.slowness() / 2)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.rows[id(table, part, key)], nil
@@ -349,6 +405,31 @@
 	g.ranOnce()
 }
 
+// TestSlowTableKeepsItsLeader slows every commit down to 400 ms. Another leader could not write faster, and
+// commits that are sent again, or that would take the lead, only make the queue longer.
+func TestSlowTableKeepsItsLeader(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1)
+	g.table.setSlow(400 * time.Millisecond)
+	var wg sync.WaitGroup
+	var accepted, sent atomic.Int64
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		sent.Add(1)
+		wg.Go(func() {
+			if g.submit(g.members[0]) == ibiscell.OK {
+				accepted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	taken := 0
+	for _, m := range g.members {
+		taken += m.events.count("LeadTaken")
+	}
+	assert.Equal(t, taken, 1)
+	assert.Assert(t, accepted.Load() > sent.Load()*3/4, "%d of %d accepted", accepted.Load(), sent.Load())
+	g.ranOnce()
+}
+
 func TestNobodyIsTakenForALeaderThatCannotWriteBeforeItsFirstPong(t *testing.T) {
 	g := newGroup(t, 1)
 	for range 3 {
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -19,6 +19,8 @@
 	seekPause     = 120 * time.Millisecond // between looks at the leader's row
 	leaderSilent  = 650 * time.Millisecond // without a change of its row, twice its beats: a leader that cannot be reached is replaced
 	supplantAfter = 900 * time.Millisecond // without a commit of a leader that can be reached, while others can write
+	supplantSlow  = 3 * time.Second        // the same, when the table is slow for this daemon too
+	quickRead     = 100 * time.Millisecond // of a row, ten times the usual; a table that takes longer is slow for all
 	getTimeout    = 1500 * time.Millisecond
 	scanTimeout   = 4 * time.Second
 	takeTries     = 6
@@ -140,7 +142,11 @@
 	}
 	began := n.clock.Now()
 	row, leader, err := n.readLeader(ctx)
-	if err != nil || n.clock.Now()-began > supplantAfter.Milliseconds()/2 || leader.Nonce != f.leader.Nonce {
+	if err != nil || leader.Nonce != f.leader.Nonce {
+		return false
+	}
+	if took := n.clock.Now() - began; took > quickRead.Milliseconds() && age < (supplantSlow+n.rank(f.leader.Name)).Milliseconds() {
+		n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "ReadMS": took}).Debug("TableSlowForAll")
 		return false
 	}
 	n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "Version": row.Version}).Warn("LeaderCannotWrite")
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -27,6 +27,7 @@
 	handOverEvery = 3                       // reports of the load between looks for a much stronger VM
 	eventBacklog  = 8192                    // events that wait for the engine
 	commitPause   = 60 * time.Millisecond   // after a commit that was not carried out
+	slowCommit    = 1500 * time.Millisecond // of a commit to a slow table, before it is sent again
 	failingAfter  = 300 * time.Millisecond  // without success, after which callers are refused at once
 	adviseTimeout = 5 * time.Second         // of one call; the longest takes about 1.2 s
 	holdTimeout   = 700 * time.Millisecond  // of a hold, beyond its wait
@@ -327,6 +328,9 @@
 			t.version = version
 			return t.committed(b, began)
 		}
+		if Unknown.Has(err) && t.carriedOut(began) {
+			return t.committed(b, began)
+		}
 		if done, err := t.settle(err); err != nil {
 			t.end()
 			return err
@@ -346,6 +350,26 @@
 	}
 }
 
+// carriedOut looks for a commit whose reply is late or lost. As long as the table is slow for reads too, the
+// commit is probably on its way, and another try would only wait behind it.
+func (t *term) carriedOut(began time.Time) bool {
+	for time.Since(began) < slowCommit {
+		asked := time.Now()
+		row, leader, err := t.n.readLeader(t.ctx)
+		if err != nil {
+			return false
+		}
+		if leader.Nonce == t.row.Nonce && leader.Seq == t.row.Seq {
+			t.version = row.Version
+			return true
+		}
+		if time.Since(asked) < quickRead {
+			return false
+		}
+	}
+	return false
+}
+
 // settle finds out from a failed commit whether an earlier try has been carried out.
 func (t *term) settle(err error) (done bool, _ error) {
 	var conflict *ConflictError
