Commit ends ahead of rows that a slow table has no room for

Cause: a batch ended at its 96th row, also for jobs whose end adds no row (all ends of a batch share one).

Change: a full batch still takes the ends.

TestEndsDoNotWaitBehindRowsOfASlowTable fails before and passes after.

--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -195,15 +195,17 @@
 		return nil
 	}
 	b := &Batch{}
-	n, size := 0, 0
+	var left []*job
+	size := 0
 	for _, j := range e.journal.queue {
-		if len(b.Puts)+rowsOfJob+1 > MaxBatchRows || size > maxBatchBytes {
-			break
+		full := len(b.Puts)+rowsOfJob+1 > MaxBatchRows || size > maxBatchBytes
+		if full && !j.state.Final() { // all ends share a row
+			left = append(left, j)
+			continue
 		}
 		size += e.addRows(b, j)
-		n++
 	}
-	e.journal.queue = append([]*job(nil), e.journal.queue[n:]...)
+	e.journal.queue = left
 	if len(b.ended) > 0 {
 		e.journal.batches++
 		key := fmt.Sprintf("%010d-%010d", e.set.Epoch, e.journal.batches)
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -435,3 +435,20 @@
 		assert.Equal(t, w.state(id), ibisjob.Completed)
 	}
 }
+
+func TestEndsDoNotWaitBehindRowsOfASlowTable(t *testing.T) {
+	w := newWorld(t, 40)
+	w.run(20)
+	for n := range 60 {
+		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "quick", Spec: "600", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(1000, 10), EstimateMS: 600})})
+	}
+	w.run(500)
+	w.commitMS = 500
+	for n := range 400 { // more rows than four commits take
+		w.submit(uint64(1000+n), ibisjob.Job{ID: jobID(1000 + n), Queue: "quick", Team: fmt.Sprint("t", n%40), Spec: "5000", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 10), EstimateMS: 5000})})
+	}
+	w.run(1300)
+	for n := range 60 {
+		assert.Equal(t, w.state(jobID(n)), ibisjob.Completed)
+	}
+}
