Replace a leader that cannot write after 0.6 s instead of 0.9

A slow table does not count: its reads are slow for followers too.

Change: two beats and one lost reply, 0.6 s.

--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -18,7 +18,7 @@
 const (
 	seekPause     = 120 * time.Millisecond // between looks at the leader's row
 	leaderSilent  = 650 * time.Millisecond // without a change of its row, twice its beats: a leader that cannot be reached is replaced
-	supplantAfter = 900 * time.Millisecond // without a commit of a leader that can be reached, while others can write
+	supplantAfter = 600 * time.Millisecond // without a commit of a leader that can be reached, while others can write: two beats and a lost reply
 	supplantSlow  = 3 * time.Second        // the same, when the table is slow for this daemon too
 	quickRead     = 100 * time.Millisecond // of a row, ten times the usual; a table that takes longer is slow for all
 	getTimeout    = 1500 * time.Millisecond
