Count servers that a new leader has yet to hear from; explain a request from logs

Change: servers that are listed and have yet to answer count.

TestNewLeaderRefusesNobodyBeforeItHasReachedItsServers fails before.

--- a/cmd/ibiscrank/main.go
+++ b/cmd/ibiscrank/main.go
@@ -17,6 +17,7 @@
 	Server        serverCmd        `cmd:"" help:"Set backend servers aside and return them."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Ask a new team about its work and generate its configuration."`
 	Report        reportCmd        `cmd:"" help:"Report service-level burn and the state of the fleet."`
+	Explain       explainCmd       `cmd:"" help:"Show what several daemons' logs tell of one request, in order of time."`
 	Load          loadCmd          `cmd:"" help:"Generate an open-loop load and print what came of it."`
 }
 
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -452,3 +452,21 @@
 		assert.Equal(t, w.state(jobID(n)), ibisjob.Completed)
 	}
 }
+
+func TestNewLeaderRefusesNobodyBeforeItHasReachedItsServers(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Team: "b", Spec: "1000", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(10_000, 10), EstimateMS: 1000})})
+	w.run(200)
+	w.lead()
+	for n := range 6 { // of a team that may submit one a second
+		to := uint64(100 + n)
+		w.submit(to, ibisjob.Job{ID: jobID(100 + n), Queue: "quick", Team: "a", Spec: "100", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1), EstimateMS: 100})})
+		w.e.Tick(w.now)
+		assert.Assert(t, w.answers[to].Outcome != ibiscell.Rejected, "job %d", n)
+	}
+	w.run(3000)
+	for n := range 6 {
+		assert.Equal(t, w.state(jobID(100+n)), ibisjob.Completed)
+	}
+}
--- a/ibiscell/place.go
+++ b/ibiscell/place.go
@@ -61,7 +61,7 @@
 func (e *Engine) measureBacklog(p *pass) {
 	var capacity, work int64
 	for _, s := range p.servers {
-		if e.usable(s) {
+		if e.usable(s) || s.awaited() {
 			capacity += s.info.Capacity.MilliCPU
 		}
 	}
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -166,6 +166,9 @@
 	return s.listed && !s.info.Leaving && s.reached && s.foreign == 0 && e.now >= s.asideUntil && e.heard(s)
 }
 
+// awaited reports whether s has yet to answer its first hold of this leader, and is likely to.
+func (s *server) awaited() bool { return s.listed && !s.info.Leaving && !s.reached && !s.missed }
+
 // watch sends the holds of s when they are due and lets its leases lapse.
 func (e *Engine) watch(s *server) {
 	if s.holding && e.now-s.holdAt > e.set.HoldWaitMS+holdSlackMS+holdRetryMaxMS {
