Do not wait for a silent table as for a slow one

Found by reading the change again: the look for a commit whose reply is late could take 1.5 s with a table that answers nothing, and only then were jobs refused that no commit contains. A look ends after 0.5 s.

serversToName is split from askMore.

--- a/ibiscell/candidate.go
+++ b/ibiscell/candidate.go
@@ -174,8 +174,7 @@
 	return s.goodAt > s.failedAt && e.now-s.goodAt < freshSuccessMS
 }
 
-// askMore asks about servers that were not asked about, those with most room first: as many as are likely to
-// have room enough between them once the service has refused some.
+// askMore asks about servers that were not asked about, those with most room first.
 func (e *Engine) askMore(p *pass, st *step, q *ibisjob.Queue, tasks int) {
 	type choice struct {
 		id    string
@@ -208,31 +207,41 @@
 	shift := hash(st.name) % len(list)
 	list = append(list[shift:], list[:shift]...) // equal servers are not all asked about by all steps
 	slices.SortStableFunc(list, func(a, b choice) int { return cmp.Compare(min(b.slots, tasks), min(a.slots, tasks)) })
+	slots := make([]int, len(list))
+	for k, c := range list {
+		slots[k] = c.slots
+	}
+	n := e.serversToName(st, q, tasks, slots)
+	ids := make([]string, n)
+	for k := range ids {
+		ids[k] = list[k].id
+	}
+	calls := (n + maxAskedServers - 1) / maxAskedServers
+	for part := range slices.Chunk(ids, (n+calls-1)/calls) {
+		e.ask(st, part, nil)
+	}
+}
+
+// serversToName is how many of the servers with the given free slots a step asks about for its tasks, so that
+// those that will be approved are likely to have room enough.
+func (e *Engine) serversToName(st *step, q *ibisjob.Queue, tasks int, slots []int) int {
 	target := float64(tasks)
 	if st.spec.Gang {
 		target = max(gangAskFactor*target-float64(e.approvedRoom(st)), 1)
 	}
 	rate, n, expected := e.approvalRate(q.Name), 0, 0.0
-	for n < len(list) && expected < target {
-		slots := min(list[n].slots, tasks)
+	for n < len(slots) && expected < target {
+		own := min(slots[n], tasks)
 		if st.spec.MaxPerServer > 0 {
-			slots = min(slots, st.spec.MaxPerServer)
+			own = min(own, st.spec.MaxPerServer)
 		}
-		expected += max(float64(slots), emptyingSlots) * rate
+		expected += max(float64(own), emptyingSlots) * rate
 		n++
 	}
 	if e.backlogMS > widenBacklogMS {
 		n = max(n, int(widenPart*q.Advice.DecisionMS/max(q.Advice.PerServerMS, 1e-6)))
 	}
-	n = min(n+spareCandidates, len(list), maxAskedServers*maxCallsAtOnce)
-	ids := make([]string, n)
-	for k := range ids {
-		ids[k] = list[k].id
-	}
-	calls := (n + maxAskedServers - 1) / maxAskedServers
-	for part := range slices.Chunk(ids, (n+calls-1)/calls) {
-		e.ask(st, part, nil)
-	}
+	return min(n+spareCandidates, len(slots), maxAskedServers*maxCallsAtOnce)
 }
 
 // approvedRoom is how many tasks of st fit on the servers that are known to be approved.
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -27,6 +27,7 @@
 	handOverEvery = 3                       // reports of the load between looks for a much stronger VM
 	eventBacklog  = 8192                    // events that wait for the engine
 	commitPause   = 60 * time.Millisecond   // after a commit that was not carried out
+	lookTimeout   = 500 * time.Millisecond  // of a look for a commit; a silent table is not waited for like a slow one
 	slowCommit    = 1500 * time.Millisecond // of a commit to a slow table, before it is sent again
 	failingAfter  = 300 * time.Millisecond  // without success, after which callers are refused at once
 	adviseTimeout = 5 * time.Second         // of one call; the longest takes about 1.2 s
@@ -355,7 +356,9 @@
 func (t *term) carriedOut(began time.Time) bool {
 	for time.Since(began) < slowCommit {
 		asked := time.Now()
-		row, leader, err := t.n.readLeader(t.ctx)
+		ctx, cancel := context.WithTimeout(t.ctx, lookTimeout)
+		row, leader, err := t.n.readLeader(ctx)
+		cancel()
 		if err != nil {
 			return false
 		}
