Remember for two seconds that the table was slow

Ruled out: the leader's own health (its commits went on, at 0.6 to 1.0 s).

Change: after a slow read a follower gives the leader 3 s for two seconds.

--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -21,6 +21,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -89,6 +90,7 @@
 	known    leaderRow // the newest leader that this daemon has heard of
 
 	vacatedAt ibiscell.Time // when this daemon last gave up the lead; owned by seek
+	slowAt    atomic.Int64  // when a read of the table was last slow, or 0
 }
 
 // New makes a daemon that does nothing before Start.
--- a/ibisnode/node_test.go
+++ b/ibisnode/node_test.go
@@ -405,14 +405,15 @@
 	g.ranOnce()
 }
 
-// TestSlowTableKeepsItsLeader slows every commit down to 400 ms. Another leader could not write faster, and
+// TestSlowTableKeepsItsLeader slows every commit down to 400 ms for a while. Another leader could not write faster, and
 // commits that are sent again, or that would take the lead, only make the queue longer.
 func TestSlowTableKeepsItsLeader(t *testing.T) {
 	g := newGroup(t, 1, 1, 1, 1)
 	g.table.setSlow(400 * time.Millisecond)
+	time.AfterFunc(4*time.Second, func() { g.table.setSlow(0) })
 	var wg sync.WaitGroup
 	var accepted, sent atomic.Int64
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		sent.Add(1)
 		wg.Go(func() {
 			if g.submit(g.members[0]) == ibiscell.OK {
--- a/ibisnode/seek.go
+++ b/ibisnode/seek.go
@@ -20,6 +20,7 @@
 	leaderSilent  = 650 * time.Millisecond // without a change of its row, twice its beats: a leader that cannot be reached is replaced
 	supplantAfter = 600 * time.Millisecond // without a commit of a leader that can be reached, while others can write: two beats and a lost reply
 	supplantSlow  = 3 * time.Second        // the same, when the table is slow for this daemon too
+	slowMemory    = 2 * time.Second        // of a slow read: the leader's commit may be one of the last slow ones
 	quickRead     = 100 * time.Millisecond // of a row, ten times the usual; a table that takes longer is slow for all
 	getTimeout    = 1500 * time.Millisecond
 	scanTimeout   = 4 * time.Second
@@ -145,8 +146,12 @@
 	if err != nil || leader.Nonce != f.leader.Nonce {
 		return false
 	}
-	if took := n.clock.Now() - began; took > quickRead.Milliseconds() && age < (supplantSlow+n.rank(f.leader.Name)).Milliseconds() {
-		n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "ReadMS": took}).Debug("TableSlowForAll")
+	now := n.clock.Now()
+	if now-began > quickRead.Milliseconds() {
+		n.slowAt.Store(now)
+	}
+	if at := n.slowAt.Load(); at > 0 && now-at < slowMemory.Milliseconds() && age < (supplantSlow+n.rank(f.leader.Name)).Milliseconds() {
+		n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "ReadMS": now - began}).Debug("TableSlowForAll")
 		return false
 	}
 	n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "Version": row.Version}).Warn("LeaderCannotWrite")
