--- /dev/null
+++ b/ibiscell/bench_test.go
@@ -0,0 +1,109 @@
+package ibiscell_test
+
+import (
+	"fmt"
+	"testing"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+)
+
+// benchCell drives an engine with servers that end every task after one round, and a table that takes each batch at
+// once. It does nothing else, so that the time is the engine's own.
+type benchCell struct {
+	e       *ibiscell.Engine
+	now     int64
+	running map[string][]ibiscell.RunName // by server ID
+	targets map[string]ibiscell.Target
+	ends    map[string]int64
+	started int
+	nextJob int
+	waiting int
+}
+
+const (
+	benchTasks   = 25   // of each job
+	benchWaiting = 5000 // tasks that wait at any time
+)
+
+func newBenchCell(servers int) *benchCell {
+	c := &benchCell{now: 1000, running: map[string][]ibiscell.RunName{}, targets: map[string]ibiscell.Target{}, ends: map[string]int64{}}
+	c.e = ibiscell.New(ibiscell.Settings{Epoch: 1}, quietLog)
+	c.e.SetUnixTime(c.now, c.now)
+	c.e.SetConfig(&ibisjob.Config{Version: 1, Queues: []ibisjob.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, SlackFactor: 2, ObjectiveMS: 1000}}})
+	var list []ibiscell.ServerInfo
+	for n := range servers {
+		id := fmt.Sprintf("s%04d", n)
+		t := ibiscell.Target{ID: id, Address: id, Incarnation: 1}
+		c.targets[id] = t
+		list = append(list, ibiscell.ServerInfo{Target: t, Service: "svc", Rack: fmt.Sprint("r", n/8), Capacity: size(16000, 65536)})
+	}
+	c.e.SetServers(c.now, list)
+	c.e.Recover(c.now, nil)
+	return c
+}
+
+// round submits jobs, ends what runs on a part of the servers, and lets the engine decide.
+func (c *benchCell) round(servers []string) {
+	c.now += 10
+	for c.waiting < benchWaiting {
+		c.nextJob++
+		c.e.Submit(c.now, uint64(c.nextJob), ibisjob.Job{ID: jobID(c.nextJob), Queue: "q", Team: fmt.Sprint("t", c.nextJob%60), Steps: steps(ibisjob.Step{Tasks: benchTasks, Size: size(3900, 14000), EstimateMS: 600})})
+		c.waiting += benchTasks
+	}
+	for _, id := range servers {
+		r := ibiscell.Report{Target: c.targets[id], SentAt: c.now, ClockMS: c.now}
+		for _, name := range c.running[id] {
+			c.ends[id]++
+			r.Ended = append(r.Ended, ibiscell.RunEnd{N: c.ends[id], Name: name, Outcome: ibiscell.RunDone})
+		}
+		delete(c.running, id)
+		c.e.Renewed(c.now, r)
+	}
+	c.e.Tick(c.now)
+	c.execute()
+	if b := c.e.TakeBatch(c.now); b != nil {
+		c.e.Committed(c.now, b)
+	}
+	c.execute()
+}
+
+func (c *benchCell) execute() {
+	for _, cmd := range c.e.Commands() {
+		if s, ok := cmd.(ibiscell.Start); ok {
+			c.started++
+			c.waiting--
+			c.running[s.Target.ID] = append(c.running[s.Target.ID], s.Name)
+			c.e.Started(c.now, s.Target, s.Name, ibiscell.OrderDone)
+		}
+	}
+}
+
+// BenchmarkDecisions measures the engine's time for each started task: acceptance, placement, journal, reports and
+// ends, with 5,000 tasks waiting.
+func BenchmarkDecisions(b *testing.B) {
+	for _, servers := range []int{350, 1100, 8500} {
+		b.Run(fmt.Sprint(servers, "Servers"), func(b *testing.B) {
+			c := newBenchCell(servers)
+			var ids []string
+			for n := range servers {
+				ids = append(ids, fmt.Sprintf("s%04d", n))
+			}
+			c.round(ids)
+			for k := range 200 {
+				c.round(ids[k*servers/200 : (k+1)*servers/200])
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := c.started
+			k := 0
+			for b.Loop() { // each server ends its tasks in every 64th round
+				c.round(ids[k%64*servers/64 : (k%64+1)*servers/64])
+				k++
+			}
+			tasks := max(c.started-before, 1)
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(tasks), "µs/task")
+			b.ReportMetric(float64(tasks)/float64(k), "tasks/round")
+		})
+	}
+}
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -35,6 +35,8 @@
 package ibiscell
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/apex/log"
@@ -93,6 +95,7 @@
 	queues   map[string]ibisjob.Queue
 	teams    map[string]*team
 	servers  map[string]*server
+	sorted   []*server // servers by ID; nil: to be sorted again
 	jobs     map[ibisjob.ID]*job
 	ended    map[ibisjob.ID]Ended
 
@@ -173,7 +176,7 @@
 // due, forgets jobs that ended long ago, places tasks and sends calls for advice.
 func (e *Engine) Tick(now Time) {
 	e.now = now
-	for _, s := range e.servers {
+	for _, s := range e.sortedServers() {
 		e.checkServer(s)
 	}
 	e.resend()
@@ -236,17 +239,10 @@
 }
 
 // sortedServers returns the backend servers in the order of their IDs, so that simulations are
-// reproducible.
+// reproducible. The caller must not modify the list.
 func (e *Engine) sortedServers() []*server {
-	all := make([]*server, 0, len(e.servers))
-	for _, s := range e.servers {
-		all = append(all, s)
+	if e.sorted == nil {
+		e.sorted = slices.SortedFunc(maps.Values(e.servers), func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	}
-	slices.SortFunc(all, func(a, b *server) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
-	return all
+	return e.sorted
 }
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -16,7 +16,6 @@
 	reportedState  ibisjob.State
 	started        bool
 	startedAt      Time // 0: not started, or started under a previous leader
-	assigned       bool // a task has been assigned to a server
 	accepted       bool // its row is committed
 	acceptedAt     Time
 	occurrences    []*occurrence // those that have started and not ended
@@ -24,6 +23,13 @@
 	waiters        []uint64      // submissions to be answered when its row is committed
 	criticalPathMS int64         // estimated length of the critical path; 0 until it is computed
 	uncommitted    uncommitted
+
+	// What the journal contains of the job, including a batch in flight.
+	written         bool // a change that describes the whole job
+	savedStarted    bool
+	savedOccurrence int   // nextOccurrence
+	doneOccurrences []int // written occurrences that are done since
+	rows            []*changeRowRef
 }
 
 // occurrence is one execution of all steps of a job.
@@ -32,6 +38,7 @@
 	n          int
 	steps      []*step
 	unfinished int // number of steps that are not done
+	saved      bool
 }
 
 // step is one step of an occurrence.
@@ -49,6 +56,7 @@
 	notBefore   Time // earliest time of the next placement
 
 	remaining int64 // estimated length of the longest chain of steps that begins here; 0 until it is computed
+	saved     stepState
 }
 
 // task is one of the equal tasks of a step.
@@ -61,6 +69,7 @@
 	failures   int
 	checkpoint string
 	failedOn   string // ID of the server on which its last failed run was
+	saved      taskState
 }
 
 // The states of a run.
@@ -215,6 +224,9 @@
 		}
 	}
 	j.occurrences = kept
+	if occ.saved {
+		j.doneOccurrences = append(j.doneOccurrences, occ.n)
+	}
 	if len(j.occurrences) == 0 && j.nextOccurrence >= max(j.spec.Occurrences, 1) {
 		e.finish(j, ibisjob.Completed)
 	}
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -2,20 +2,26 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"ibiscrank/ibisjob"
 )
 
-// The tables of a cell. A job has a row in Jobs and Progress until it ends, and an entry in a row of Ended
-// afterwards.
+// The tables of a cell. The journal is a log: each batch adds rows to Changes that hold only what has changed.
 const (
-	TableJobs     = "Jobs"     // the job as accepted
-	TableProgress = "Progress" // progress of its tasks
-	TableEnded    = "Ended"    // final states; one row for each batch in which jobs ended
+	TableChanges = "Changes" // accepted jobs and the progress of their tasks
+	TableEnded   = "Ended"   // final states; one row for each batch in which jobs ended
+
+	// Written by earlier versions, and replaced by rows of Changes after a change of leader.
+	TableJobs     = "Jobs"     // one row for each job, as accepted
+	TableProgress = "Progress" // one row for each job, with the progress of all its tasks
 )
 
+// Tables returns the names of all tables from which Recover rebuilds a cell.
+func Tables() []string { return []string{TableChanges, TableEnded, TableJobs, TableProgress} }
+
 // Row is one row of the journal.
 type Row struct {
 	Table string
@@ -28,13 +34,25 @@
 	Puts     []Row
 	Removes  []Row // without values
 	ended    []endedJob
-	jobs     []*job
 	onCommit []func()
 }
 
-// MaxBatchRows limits the rows of a batch. The platform accepts 100 entries per transaction, two of which
-// are reserved for the leader's own rows.
-const MaxBatchRows = 96
+const (
+	// MaxBatchRows limits the rows of a batch. The platform accepts 100 entries per transaction, two of which
+	// are reserved for the leader's own rows.
+	MaxBatchRows = 96
+	// maxBatchBytes limits the size of the values in a batch, ended jobs left out. The platform accepts 1 MB per
+	// call, encoded in base64.
+	maxBatchBytes = 200_000
+
+	maxChangeRows     = 800     // rows of Changes above which the oldest are rewritten, since a new leader reads them all
+	minRewriteAgeMS   = 5_000   // a younger row is not rewritten, since most of its jobs end soon
+	maxChangeRowAgeMS = 300_000 // milliseconds after which a row is rewritten, within endedRetentionMS
+	maxRewriteBytes   = 30_000  // of rewritten changes in one batch
+	maxEndedInRow     = 400     // ended jobs in a row of Ended
+	endedRetentionMS  = 600_000 // the platform requires that the end of a job can be queried for at least 120 s
+	purgeIntervalMS   = 5_000
+)
 
 // endedRow describes a row of ended jobs, which is kept until the last of them may be forgotten.
 type endedRow struct {
@@ -43,20 +61,54 @@
 	atMS int64 // Unix time of the last end
 }
 
-const (
-	endedRetentionMS = 600_000 // the platform requires that the end of a job can be queried for at least 120 s
-	purgeIntervalMS  = 5_000
-)
+// changeRowRef describes a row of the journal that jobs which have not ended depend on.
+type changeRowRef struct {
+	table string
+	key   string
+	atMS  int64  // Unix time at which it was written or recovered
+	jobs  []*job // whose changes it contains
+	live  int    // number of jobs that still depend on it
+}
+
+// journal tracks uncommitted changes. Changes are numbered in order; jobs are written in the order of their
+// first uncommitted change.
+type journal struct {
+	lastChange       int64
+	queue            []*job
+	rows             []*changeRowRef // rows of Changes, oldest first; those without live jobs are dropped lazily
+	liveRows         int             // rows with live jobs
+	writtenRows      int64           // rows of Changes written by this leader
+	removes          []Row           // rows to remove when a batch has space for them
+	endedRowsWritten int64           // rows of Ended written by this leader
+	endedRows        []endedRow
+	nextPurge        Time
+	inFlight         bool
+	inFlightSince    Time
+	failing          bool
+}
 
-// purgeEnded forgets jobs that ended more than endedRetentionMS ago and queues their rows for removal.
+// uncommitted describes a job's changes that are not committed.
+type uncommitted struct {
+	queued   bool
+	change   int64 // number of the first uncommitted change
+	job      bool  // the job itself has not been written
+	onCommit []func()
+}
+
+// purgeEnded forgets jobs that ended more than endedRetentionMS ago and queues their rows for removal. An ended
+// job is remembered as long as a row of Changes may contain it: a new leader would take it for unfinished.
 func (e *Engine) purgeEnded() {
 	if e.now < e.journal.nextPurge {
 		return
 	}
 	e.journal.nextPurge = e.now + purgeIntervalMS
+	before := e.unixOffset + e.now - endedRetentionMS
+	if r := e.journal.oldest(); r != nil {
+		before = min(before, r.atMS)
+	}
 	rows := e.journal.endedRows
 	n := 0
-	for n < len(rows) && rows[n].atMS < e.unixOffset+e.now-endedRetentionMS {
+	for n < len(rows) && rows[n].atMS < before {
 		for _, id := range rows[n].ids {
 			delete(e.ended, id)
 		}
@@ -76,92 +128,6 @@
 	e.journal.endedRows = append(e.journal.endedRows, row)
 }
 
-// maxRowsPerJob is the largest number of rows that one job adds to a batch.
-const maxRowsPerJob = 2
-
-// maxBatchBytes limits the size of the values in a batch. The platform accepts 1 MB per call, encoded in
-// base64.
-const maxBatchBytes = 600_000
-
-// Progress is the journal record of a job's tasks.
-type Progress struct {
-	Servers        []ServerRef     `cbor:"1,keyasint,omitempty"`
-	Occurrences    []OccurrenceRec `cbor:"2,keyasint,omitempty"`
-	NextOccurrence int             `cbor:"3,keyasint,omitempty"`
-	Started        bool            `cbor:"4,keyasint,omitempty"`
-}
-
-// ServerRef identifies one incarnation of a backend server.
-type ServerRef struct {
-	_           struct{} `cbor:",toarray"`
-	ID          string
-	Incarnation int64
-}
-
-// OccurrenceRec is the journal record of one occurrence.
-type OccurrenceRec struct {
-	_     struct{} `cbor:",toarray"`
-	N     int
-	Steps []StepRec
-}
-
-// StepRec is the journal record of one step. Tasks is empty if the step is done or not open yet.
-type StepRec struct {
-	_     struct{} `cbor:",toarray"`
-	Fails int
-	Done  bool
-	Tasks []TaskRec
-}
-
-// TaskRec is the journal record of one task. Server is an index from 1 into Progress.Servers, or 0 without
-// a current run.
-type TaskRec struct {
-	_          struct{} `cbor:",toarray"`
-	Done       bool
-	Run        int64
-	Server     int
-	Fails      int
-	Checkpoint string
-}
-
-// endedJob is one entry of a row of ended jobs.
-type endedJob struct {
-	_   struct{} `cbor:",toarray"`
-	ID  ibisjob.ID
-	End Ended
-}
-
-// Ended is the journal record of a job that has ended.
-type Ended struct {
-	_     struct{} `cbor:",toarray"`
-	State ibisjob.State
-	Queue string
-	Team  string
-	AtMS  int64 // Unix time
-}
-
-// journal tracks uncommitted changes. Changes are numbered in order; jobs are written in the order of their
-// first uncommitted change.
-type journal struct {
-	lastChange    int64
-	queue         []*job
-	removes       []Row // rows to remove when a batch has space for them
-	endedBatches  int64 // number of batches of this leader that contained ended jobs
-	endedRows     []endedRow
-	nextPurge     Time
-	inFlight      bool
-	inFlightSince Time
-	failing       bool
-}
-
-// uncommitted describes a job's changes that are not committed.
-type uncommitted struct {
-	queued   bool
-	change   int64 // number of the first uncommitted change
-	job      bool  // the job's own row must be written
-	onCommit []func()
-}
-
 // markDirty records a change of j. If fn is not nil, it is called when the change is committed.
 func (e *Engine) markDirty(j *job, fn func()) {
 	e.journal.lastChange++
@@ -186,8 +152,10 @@
 	return jn.lastChange
 }
 
-// HasUncommitted reports whether there are uncommitted changes that are not part of a batch yet.
-func (e *Engine) HasUncommitted() bool { return len(e.journal.queue) > 0 || len(e.journal.removes) > 0 }
+// HasUncommitted reports whether there are changes that are not part of a batch yet, or rows to rewrite.
+func (e *Engine) HasUncommitted() bool {
+	return len(e.journal.queue) > 0 || len(e.journal.removes) > 0 || e.rowToRewrite() != nil
+}
 
 // TakeBatch returns the changes to commit next, or nil if there are none or a batch is in flight. The
 // caller writes the batch until it succeeds, reports failing writes with CommitRetrying, and then calls
@@ -198,23 +166,24 @@
 		return nil
 	}
 	b := &Batch{}
+	w := changeWriter{}
 	var remaining []*job
-	size := 0
 	for _, j := range e.journal.queue {
-		full := len(b.Puts)+maxRowsPerJob+1 > MaxBatchRows || size > maxBatchBytes
-		if full && !j.state.Final() { // all ended jobs share one row
+		if w.bytes > maxBatchBytes && !j.state.Final() { // all ended jobs share one row
 			remaining = append(remaining, j)
 			continue
 		}
-		size += e.addRows(b, j)
+		e.addChanges(b, &w, j)
 	}
 	e.journal.queue = remaining
-	if len(b.ended) > 0 {
-		e.journal.endedBatches++
-		key := fmt.Sprintf("%010d-%010d", e.settings.Epoch, e.journal.endedBatches)
-		b.Puts = append(b.Puts, Row{TableEnded, key, encode(b.ended)})
-		e.trackEndedRow(key, b.ended)
+	for list := range slices.Chunk(b.ended, maxEndedInRow) {
+		e.journal.endedRowsWritten++
+		key := fmt.Sprintf("%010d-%010d", e.settings.Epoch, e.journal.endedRowsWritten)
+		b.Puts = append(b.Puts, Row{TableEnded, key, encode(list)})
+		e.trackEndedRow(key, list)
 	}
+	e.rewriteOldest(&w)
+	e.putChanges(b, &w)
 	removed := min(MaxBatchRows-len(b.Puts), len(e.journal.removes))
 	b.Removes = append(b.Removes, e.journal.removes[:removed]...)
 	e.journal.removes = append([]Row(nil), e.journal.removes[removed:]...)
@@ -222,35 +191,97 @@
 	return b
 }
 
-// addRows adds the rows of j to b and returns the total size of their values in bytes.
-func (e *Engine) addRows(b *Batch, j *job) int {
-	key := string(j.spec.ID)
-	before := len(b.Puts)
-	switch {
-	case j.state.Final():
+// addChanges adds the uncommitted changes of j to the batch.
+func (e *Engine) addChanges(b *Batch, w *changeWriter, j *job) {
+	if j.state.Final() {
 		b.ended = append(b.ended, endedJob{ID: j.spec.ID, End: j.endedRecord(e.unixOffset + e.now)})
-		if j.accepted {
-			e.journal.removes = append(e.journal.removes, Row{Table: TableJobs, Key: key})
-			if j.assigned {
-				e.journal.removes = append(e.journal.removes, Row{Table: TableProgress, Key: key})
-			}
-		}
-	case j.uncommitted.job:
-		b.Puts = append(b.Puts, Row{TableJobs, key, encode(j.spec)})
-		if j.assigned {
-			b.Puts = append(b.Puts, Row{TableProgress, key, encode(j.progress())})
+		e.releaseRows(j)
+	} else {
+		if !j.written {
+			e.releaseRows(j)
 		}
-	default:
-		b.Puts = append(b.Puts, Row{TableProgress, key, encode(j.progress())})
+		w.addJob(j)
 	}
-	b.jobs = append(b.jobs, j)
 	b.onCommit = append(b.onCommit, j.uncommitted.onCommit...)
 	j.uncommitted = uncommitted{}
-	size := 0
-	for _, row := range b.Puts[before:] {
-		size += len(row.Value)
+}
+
+// putChanges adds the rows of w to the batch.
+func (e *Engine) putChanges(b *Batch, w *changeWriter) {
+	for n := range w.rows {
+		e.journal.writtenRows++
+		ref := &changeRowRef{
+			table: TableChanges, key: fmt.Sprintf("%010d-%010d", e.settings.Epoch, e.journal.writtenRows), atMS: e.unixOffset + e.now,
+		}
+		for _, j := range w.jobs[n] {
+			ref.add(j)
+		}
+		e.journal.track(ref)
+		b.Puts = append(b.Puts, Row{TableChanges, ref.key, encode(w.rows[n])})
+	}
+}
+
+// track adds a row to those that live jobs depend on.
+func (jn *journal) track(ref *changeRowRef) {
+	jn.rows = append(jn.rows, ref)
+	jn.liveRows++
+}
+
+// add records that j depends on the row.
+func (r *changeRowRef) add(j *job) {
+	j.rows = append(j.rows, r)
+	r.jobs = append(r.jobs, j)
+	r.live++
+}
+
+// releaseRows records that j no longer depends on the rows written so far, and queues those for removal that no
+// other job depends on. The batch that is being made must make them obsolete.
+func (e *Engine) releaseRows(j *job) {
+	for _, r := range j.rows {
+		if r.live--; r.live == 0 {
+			r.jobs = nil
+			e.journal.liveRows--
+			e.journal.removes = append(e.journal.removes, Row{Table: r.table, Key: r.key})
+		}
+	}
+	j.rows = nil
+}
+
+// oldest returns the oldest row that a live job depends on, or nil.
+func (jn *journal) oldest() *changeRowRef {
+	n := 0
+	for n < len(jn.rows) && jn.rows[n].live == 0 {
+		n++
+	}
+	jn.rows = jn.rows[n:]
+	if len(jn.rows) == 0 {
+		return nil
+	}
+	return jn.rows[0]
+}
+
+// rowToRewrite returns the oldest row if it is too old, or if there are too many rows, else nil.
+func (e *Engine) rowToRewrite() *changeRowRef {
+	r := e.journal.oldest()
+	if r == nil || e.journal.liveRows <= maxChangeRows && e.unixOffset+e.now-r.atMS <= maxChangeRowAgeMS {
+		return nil
+	}
+	return r
+}
+
+// rewriteOldest writes the jobs again that depend on the oldest rows, so that these can be removed.
+func (e *Engine) rewriteOldest(w *changeWriter) {
+	limit := w.bytes + maxRewriteBytes
+	for r := e.rowToRewrite(); r != nil && w.bytes < limit; r = e.rowToRewrite() {
+		for _, j := range r.jobs {
+			if !slices.Contains(j.rows, r) {
+				continue
+			}
+			e.releaseRows(j)
+			j.written = false
+			w.addJob(j)
+		}
 	}
-	return size
 }
 
 // encode returns the CBOR encoding of v. Encoding the record types of this package cannot fail.
@@ -291,38 +322,3 @@
 func (j *job) endedRecord(unixMS int64) Ended {
 	return Ended{State: j.state, Queue: j.spec.Queue, Team: j.spec.Team, AtMS: unixMS}
 }
-
-// progress returns the journal record of the current state of j.
-func (j *job) progress() Progress {
-	p := Progress{NextOccurrence: j.nextOccurrence, Started: j.started}
-	refs := make(map[*server]int)
-	for _, occ := range j.occurrences {
-		rec := OccurrenceRec{N: occ.n}
-		for _, st := range occ.steps {
-			rec.Steps = append(rec.Steps, st.record(&p, refs))
-		}
-		p.Occurrences = append(p.Occurrences, rec)
-	}
-	return p
-}
-
-func (st *step) record(p *Progress, refs map[*server]int) StepRec {
-	rec := StepRec{Fails: st.failures, Done: st.unfinished == 0}
-	if !st.open || rec.Done {
-		return rec
-	}
-	for _, t := range st.tasks {
-		tr := TaskRec{Done: t.done, Run: t.lastRun, Fails: t.failures, Checkpoint: t.checkpoint}
-		if t.run != nil && t.run.state != runAwaitingTicket {
-			n, ok := refs[t.run.server]
-			if !ok {
-				p.Servers = append(p.Servers, ServerRef{ID: t.run.server.info.ID, Incarnation: t.run.server.info.Incarnation})
-				n = len(p.Servers)
-				refs[t.run.server] = n
-			}
-			tr.Server = n
-		}
-		rec.Tasks = append(rec.Tasks, tr)
-	}
-	return rec
-}
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/apex/log"
@@ -10,11 +11,27 @@
 	"ibiscrank/ibisjob"
 )
 
-// Recover rebuilds the cell from the rows of its journal. It must be called after SetConfig and SetServers
-// and before any other event. Rows that cannot be decoded are logged and left in the table.
-func (e *Engine) Recover(now Time, jobs, progress, ended []Row) {
+// jobRecord is what the journal contains of a job that has not ended.
+type jobRecord struct {
+	job            ibisjob.Job
+	started        bool
+	nextOccurrence int
+	occurrences    map[int]map[int]*stepRecord // those that have begun and are not done, by number; steps by index
+	rows           []*changeRowRef             // that contain the record
+	outdated       bool                        // written by an earlier version, in other tables
+}
+
+// stepRecord is what the journal contains of a step.
+type stepRecord struct {
+	state stepState
+	tasks map[int]taskState
+}
+
+// Recover rebuilds the cell from the rows of its journal, by table. It must be called after SetConfig and
+// SetServers and before any other event. Rows that cannot be decoded are logged and left in the table.
+func (e *Engine) Recover(now Time, tables map[string][]Row) {
 	e.now, e.lastCommit = now, now
-	for _, row := range ended {
+	for _, row := range tables[TableEnded] {
 		var list []endedJob
 		if err := cbor.Unmarshal(row.Value, &list); err != nil {
 			e.logUnreadable(row, err)
@@ -26,75 +43,140 @@
 		}
 	}
 	slices.SortFunc(e.journal.endedRows, func(a, b endedRow) int { return cmp.Compare(a.atMS, b.atMS) })
-	records := make(map[string]Progress, len(progress))
-	for _, row := range progress {
-		if e.removeEnded(row) {
-			continue
+	records := e.readOutdated(tables[TableJobs], tables[TableProgress])
+	e.readChanges(tables[TableChanges], records)
+	for _, id := range slices.Sorted(maps.Keys(records)) {
+		e.recoverJob(records[id])
+	}
+	for _, r := range e.journal.rows {
+		if r.live == 0 {
+			e.journal.liveRows--
+			e.journal.removes = append(e.journal.removes, Row{Table: r.table, Key: r.key})
 		}
-		var p Progress
-		if err := cbor.Unmarshal(row.Value, &p); err != nil {
+	}
+	e.log.WithFields(log.Fields{
+		"Jobs": len(e.jobs), "Ended": len(e.ended), "Epoch": e.settings.Epoch, "Rows": len(tables[TableChanges]), "EndedRows": len(tables[TableEnded]),
+	}).Info("CellRecovered")
+}
+
+// readChanges applies the rows of Changes to the records, in order.
+func (e *Engine) readChanges(rows []Row, records map[ibisjob.ID]*jobRecord) {
+	rows = slices.Clone(rows)
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	incomplete := make(map[ibisjob.ID]Row) // jobs of which only later changes have been read
+	for _, row := range rows {
+		var changes changeRow
+		if err := cbor.Unmarshal(row.Value, &changes); err != nil {
 			e.logUnreadable(row, err)
 			continue
 		}
-		records[row.Key] = p
+		ref := &changeRowRef{table: row.Table, key: row.Key, atMS: e.unixOffset + e.now}
+		e.journal.track(ref)
+		for n := range changes.Jobs {
+			c := &changes.Jobs[n]
+			if _, ended := e.ended[c.ID]; ended {
+				continue
+			}
+			if records[c.ID] == nil && c.Job == nil {
+				incomplete[c.ID] = row
+				continue
+			}
+			if err := applyChange(records, c, changes.Servers, ref); err != nil {
+				e.logUnreadable(row, err)
+			}
+		}
 	}
-	for _, row := range jobs {
-		if e.removeEnded(row) {
-			continue
+	// A job that has been rewritten may have left changes in rows that other jobs depend on.
+	for id, row := range incomplete {
+		if records[id] == nil {
+			e.logUnreadable(row, Error.New("no row describes job %s, which has changes", id))
 		}
-		var spec ibisjob.Job
-		err := cbor.Unmarshal(row.Value, &spec)
-		if err == nil {
-			err = spec.Check()
+	}
+}
+
+// applyChange applies one change of a job to its record. The job has a record, or the change describes all of it.
+func applyChange(records map[ibisjob.ID]*jobRecord, c *jobChange, servers []ServerRef, ref *changeRowRef) error {
+	rec := records[c.ID]
+	if c.Job != nil {
+		if err := c.Job.Check(); err != nil {
+			return err
 		}
-		if err != nil {
-			e.logUnreadable(row, err)
+		rec = &jobRecord{job: *c.Job, occurrences: make(map[int]map[int]*stepRecord)}
+		records[c.ID] = rec
+	}
+	rec.rows = append(rec.rows, ref)
+	rec.started, rec.nextOccurrence = c.Started, c.NextOccurrence
+	for _, occ := range c.Occurrences {
+		if occ.Done {
+			delete(rec.occurrences, occ.N)
 			continue
 		}
-		p, ok := records[row.Key]
-		e.recoverJob(spec, p, ok)
+		steps := rec.occurrences[occ.N]
+		if steps == nil {
+			steps = make(map[int]*stepRecord)
+			rec.occurrences[occ.N] = steps
+		}
+		for _, sc := range occ.Steps {
+			st := steps[sc.N]
+			if st == nil {
+				st = &stepRecord{tasks: make(map[int]taskState)}
+				steps[sc.N] = st
+			}
+			st.state = stepState{failures: sc.Failures, done: sc.Done}
+			for _, tc := range sc.Tasks {
+				st.tasks[tc.N] = tc.State.decode(servers)
+			}
+		}
 	}
-	e.log.WithFields(log.Fields{"Jobs": len(e.jobs), "Ended": len(e.ended), "Epoch": e.settings.Epoch}).Info("CellRecovered")
+	return nil
 }
 
-// removeEnded queues a row for removal if it belongs to a job that has ended, and reports whether it does.
-// A previous leader may have left such rows.
-func (e *Engine) removeEnded(row Row) bool {
-	if _, ok := e.ended[ibisjob.ID(row.Key)]; !ok {
-		return false
-	}
-	e.journal.removes = append(e.journal.removes, Row{Table: row.Table, Key: row.Key})
-	return true
+// decode returns the state that r records, given the servers of its row.
+func (r *TaskRec) decode(servers []ServerRef) taskState {
+	s := taskState{done: r.Done, run: r.Run, failures: r.Fails, checkpoint: r.Checkpoint}
+	if r.Server >= 1 && r.Server <= len(servers) {
+		s.server = ServerRef{ID: servers[r.Server-1].ID, Incarnation: servers[r.Server-1].Incarnation}
+	}
+	return s
 }
 
 func (e *Engine) logUnreadable(row Row, err error) {
 	e.log.WithFields(log.Fields{"Table": row.Table, "Key": row.Key}).WithError(err).Error("JournalRowUnreadable")
 }
 
-func (e *Engine) recoverJob(spec ibisjob.Job, p Progress, hasProgress bool) {
-	j := &job{spec: spec, state: ibisjob.Queued, accepted: true, acceptedAt: spec.AcceptedMS - e.unixOffset}
-	if p.Started {
-		j.state, j.started = ibisjob.Active, true
+func (e *Engine) recoverJob(rec *jobRecord) {
+	spec := rec.job
+	j := &job{
+		spec: spec, state: ibisjob.Queued, accepted: true, acceptedAt: spec.AcceptedMS - e.unixOffset,
+		started: rec.started, nextOccurrence: rec.nextOccurrence, written: !rec.outdated,
+	}
+	j.savedStarted, j.savedOccurrence = j.started, j.nextOccurrence
+	for _, r := range rec.rows {
+		r.add(j)
+	}
+	if j.started {
+		j.state = ibisjob.Active
 	}
 	j.reportedState = j.state
 	e.jobs[spec.ID] = j
-	if !hasProgress {
-		e.beginJob(j)
-		return
+	if rec.outdated {
+		e.markDirty(j, nil)
 	}
-	j.nextOccurrence, j.assigned = p.NextOccurrence, true
-	for _, rec := range p.Occurrences {
-		occ := e.newOccurrence(j, rec.N)
-		for n := range rec.Steps {
-			if n < len(occ.steps) {
-				e.recoverStep(occ.steps[n], rec.Steps[n], p.Servers)
-			}
-		}
+	var begun []*occurrence
+	for _, n := range slices.Sorted(maps.Keys(rec.occurrences)) {
+		occ := e.newOccurrence(j, n)
+		occ.saved = true
+		begun = append(begun, occ)
 		for _, st := range occ.steps {
+			if r := rec.occurrences[n][st.n]; r != nil {
+				e.recoverStep(st, r)
+			}
 			if st.unfinished == 0 {
 				occ.unfinished--
 			}
 		}
+	}
+	for _, occ := range begun {
 		if occ.unfinished == 0 {
 			e.occurrenceDone(occ)
 			continue
@@ -106,27 +188,28 @@
 	}
 }
 
-func (e *Engine) recoverStep(st *step, rec StepRec, servers []ServerRef) {
-	st.failures = rec.Fails
-	if rec.Done {
+func (e *Engine) recoverStep(st *step, rec *stepRecord) {
+	st.failures, st.saved = rec.state.failures, rec.state
+	if rec.state.done {
 		st.unfinished = 0
 		for _, t := range st.tasks {
 			t.done = true
 		}
 		return
 	}
-	for k, tr := range rec.Tasks {
-		if k >= len(st.tasks) {
-			break
+	for k, t := range st.tasks {
+		s, ok := rec.tasks[k]
+		if !ok {
+			continue
 		}
-		t := st.tasks[k]
-		t.done, t.lastRun, t.failures, t.checkpoint = tr.Done, tr.Run, tr.Fails, tr.Checkpoint
+		t.saved = s
+		t.done, t.lastRun, t.failures, t.checkpoint = s.done, s.run, s.failures, s.checkpoint
 		if t.done {
 			st.unfinished--
 			continue
 		}
-		if tr.Server >= 1 && tr.Server <= len(servers) {
-			e.recoverRun(t, servers[tr.Server-1])
+		if s.server.ID != "" {
+			e.recoverRun(t, s.server)
 		}
 	}
 }
--- a/ibiscell/run.go
+++ b/ibiscell/run.go
@@ -57,7 +57,6 @@
 	r.ticket = ticket
 	e.setState(r, runCommitting)
 	j := r.task.step.occ.job
-	j.assigned = true
 	e.markDirty(j, func() { e.startAssigned(r) })
 }
 
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -1,6 +1,8 @@
 package ibiscell
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/apex/log"
@@ -116,7 +118,7 @@
 	// Leases granted by a previous leader remain valid until that leader has lost its authority and they
 	// have expired.
 	s.leasesExpireBy = e.now + e.settings.LeaderLeaseMS + withClockDrift(e.settings.MaxLeaseMS)
-	e.servers[info.ID] = s
+	e.servers[info.ID], e.sorted = s, nil
 	e.placementDue = true
 	return s
 }
@@ -144,24 +146,18 @@
 
 // endRuns ends all runs of s.
 func (e *Engine) endRuns(s *server, outcome RunOutcome) {
-	for _, r := range sortedRuns(s) {
+	for _, r := range sortRuns(slices.Collect(maps.Values(s.runs))) {
 		e.endRun(r, outcome, "")
 	}
 	s.unknownRuns = 0
 }
 
-func sortedRuns(s *server) []*run {
-	all := make([]*run, 0, len(s.runs))
-	for _, r := range s.runs {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *run) int {
-		if a.name.Task < b.name.Task || a.name.Task == b.name.Task && a.name.Run < b.name.Run {
-			return -1
-		}
-		return 1
+// sortRuns sorts runs by their names, so that simulations are reproducible.
+func sortRuns(runs []*run) []*run {
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.name.Task, b.name.Task), cmp.Compare(a.name.Run, b.name.Run))
 	})
-	return all
+	return runs
 }
 
 // usable reports whether new tasks may be placed on s.
@@ -190,6 +186,7 @@
 	}
 	if !s.listed && len(s.runs) == 0 && e.now > s.leasesExpireBy {
 		delete(e.servers, s.info.ID)
+		e.sorted = nil
 	}
 }
 
@@ -322,10 +319,13 @@
 		}
 		e.confirmRunning(r, l, rep.SentAt)
 	}
-	for _, r := range sortedRuns(s) {
-		if listed[r.name] {
-			continue
+	var unlisted []*run
+	for name, r := range s.runs {
+		if !listed[name] {
+			unlisted = append(unlisted, r)
 		}
+	}
+	for _, r := range sortRuns(unlisted) {
 		switch {
 		case r.state == runRecovered:
 			// The server has accepted this leader, so a start order of the previous one can no longer take
--- a/ibisjob/job.go
+++ b/ibisjob/job.go
@@ -33,6 +33,7 @@
 	MaxSpecBytes = 4000   // length of the specification in bytes
 	MaxSteps     = 256    // steps of a job
 	MaxTasks     = 10_000 // tasks of all steps of a job together
+	MaxBytes     = 60_000 // encoded size of a job, by EncodedBytes, which has to fit into one row of the table service
 	idDigits     = 16     // hexadecimal digits of an ID
 )
 
@@ -113,6 +114,9 @@
 	case j.Occurrences < 0 || j.IntervalMS < 0 || j.StartAtMS < 0:
 		return Error.New("Occurrences (%d), StartAtMS (%d) and IntervalMS (%d) must not be negative", j.Occurrences, j.StartAtMS, j.IntervalMS)
 	}
+	if n := j.EncodedBytes(); n > MaxBytes {
+		return Error.New("the job takes about %d bytes; at most %d are allowed", n, MaxBytes)
+	}
 	tasks := 0
 	for n := range j.Steps {
 		if err := j.Steps[n].check(n); err != nil {
@@ -126,6 +130,48 @@
 	return nil
 }
 
+// Upper bounds of encoded sizes, in bytes.
+const (
+	jobBytes        = 160 // a job without its texts and steps
+	stepBytes       = 120 // the fields Tasks, Size and EstimateMS of a step
+	flagBytes       = 16  // a flag that is set
+	numberBytes     = 24  // any other number
+	textBytes       = 8   // a text without its content
+	dependencyBytes = 3   // one dependency
+)
+
+// EncodedBytes returns an upper bound of the encoded size of j.
+func (j *Job) EncodedBytes() int {
+	n := jobBytes + len(j.Queue) + len(j.Team) + len(j.Spec)
+	for k := range j.Steps {
+		n += j.Steps[k].encodedBytes()
+	}
+	return n
+}
+
+func (s *Step) encodedBytes() int {
+	n := stepBytes
+	for _, set := range [...]bool{s.Checkpointing, s.Gang, s.Colocated, s.Speculative, s.LongRunning, s.Filler} {
+		if set {
+			n += flagBytes
+		}
+	}
+	for _, v := range [...]int64{int64(s.MaxPerServer), s.TailGoalMS, int64(s.MaxUnavailable)} {
+		if v != 0 {
+			n += numberBytes
+		}
+	}
+	for _, text := range [...]string{s.Label, s.Rack, s.Image} {
+		if text != "" {
+			n += textBytes + len(text)
+		}
+	}
+	if len(s.DependsOn) > 0 {
+		n += numberBytes + dependencyBytes*len(s.DependsOn)
+	}
+	return n
+}
+
 func (s *Step) check(n int) error {
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return Error.New("step %d has %d tasks; 1 to %d are allowed", n, s.Tasks, MaxTasks)
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -257,7 +257,7 @@
 			mu.Unlock()
 		}
 	}
-	for _, table := range []string{ibiscell.TableJobs, ibiscell.TableProgress, ibiscell.TableEnded} {
+	for _, table := range ibiscell.Tables() {
 		wg.Go(func() {
 			list, err := t.n.table.Scan(ctx, table, cellPartition)
 			addErr(err)
@@ -287,7 +287,7 @@
 		e.SetConfig(cfg)
 	}
 	e.SetServers(now, servers)
-	e.Recover(now, rows[ibiscell.TableJobs], rows[ibiscell.TableProgress], rows[ibiscell.TableEnded])
+	e.Recover(now, rows)
 	return e, nil
 }
 
