--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -206,22 +206,24 @@
 	}
 }
 
-// readConfig reads the configuration from the platform and confirms it as of the start of the read.
-func (n *Node) readConfig(ctx context.Context) {
+// readConfig reads the configuration from the platform and confirms it as of the start of the read. It reports
+// whether there is one.
+func (n *Node) readConfig(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	began := n.clock.Now()
 	cfg, err := n.directory.Config(ctx)
 	if err != nil {
 		n.dependencyLost("Config", err)
-		return
+		return false
 	}
 	n.dependencyBack("Config")
 	if cfg == nil {
-		return
+		return false
 	}
 	n.setConfig(cfg, "Table")
 	n.confirmConfig(cfg.Version, began)
+	return true
 }
 
 // readConfigWithoutLeader reads the configuration whenever no leader has confirmed it lately. A daemon that
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -42,8 +42,13 @@
 	Pong          *pong               `cbor:"7,keyasint,omitempty"`
 	Config        *ibisjob.Config     `cbor:"8,keyasint,omitempty"`
 	Transfer      *leadershipTransfer `cbor:"9,keyasint,omitempty"`
-	Members       []member            `cbor:"10,keyasint,omitempty"` // all linked daemons and the leader
+	Members       []member            `cbor:"10,keyasint,omitempty"` // all linked daemons and the leader, once on each link
 	Leader        *leaderRow          `cbor:"11,keyasint,omitempty"` // the leader to link to instead of the sender
+	Orders        []orders            `cbor:"12,keyasint,omitempty"` // to a relay
+	Results       []orderResult       `cbor:"13,keyasint,omitempty"` // of a relay
+	Scout         *scoutOrder         `cbor:"14,keyasint,omitempty"`
+	ScoutReports  []scoutReport       `cbor:"15,keyasint,omitempty"`
+	MemberChanges []memberChange      `cbor:"16,keyasint,omitempty"` // since Members, in order
 }
 
 // hello opens a link.
@@ -58,6 +63,15 @@
 	Address string  `cbor:"2,keyasint"`
 	Power   float64 `cbor:"3,keyasint"` // CPU work that its VM does per second, in cores
 	Started int64   `cbor:"4,keyasint"` // Unix time of its start, in milliseconds
+
+	FailureDomain string `cbor:"5,keyasint,omitempty"`
+}
+
+// memberChange is a change of the list of members.
+type memberChange struct {
+	_       struct{} `cbor:",toarray"`
+	Changed []member
+	Gone    []string // names
 }
 
 // adviceResult is the outcome of one call to the advice service.
@@ -82,6 +96,8 @@
 	ConfigAgeMS int64          `cbor:"3,keyasint"` // since the leader began the read that last confirmed it
 	CommitAgeMS int64          `cbor:"4,keyasint"` // since the leader's last commit
 	WaitingJobs map[string]int `cbor:"5,keyasint"` // accepted jobs without a started task, by queue; nil: unknown
+	Now         ibiscell.Time  `cbor:"6,keyasint"` // when it was sent, on the leader's clock
+	CommitMS    int64          `cbor:"7,keyasint"` // average time of the leader's commits
 }
 
 // leadershipTransfer asks the receiver to acquire leadership from the sender at once.
@@ -96,9 +112,16 @@
 	f.Replies = append(f.Replies, o.Replies...)
 	f.Advise = append(f.Advise, o.Advise...)
 	f.AdviceResults = append(f.AdviceResults, o.AdviceResults...)
+	f.Orders = append(f.Orders, o.Orders...)
+	f.Results = append(f.Results, o.Results...)
+	f.ScoutReports = append(f.ScoutReports, o.ScoutReports...)
+	f.MemberChanges = append(f.MemberChanges, o.MemberChanges...)
 	if o.Hello != nil {
 		f.Hello = o.Hello
 	}
+	if o.Scout != nil {
+		f.Scout = o.Scout
+	}
 	if o.Ping != nil {
 		f.Ping = o.Ping
 	}
--- a/ibisnode/latency.go
+++ b/ibisnode/latency.go
@@ -28,6 +28,12 @@
 	return min(d, commitTimeoutMax)
 }
 
+func (l *latency) averageMS() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.average.Milliseconds()
+}
+
 // record adds the duration of a successful commit to the average.
 func (l *latency) record(d time.Duration) {
 	l.mu.Lock()
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -23,6 +23,12 @@
 	// replaceAfter is how long a reachable leader may go without a commit, while this daemon can read the
 	// table, before it is replaced: two heartbeats and a lost reply.
 	replaceAfter = 600 * time.Millisecond
+	// replaceMax limits the time that replaceAfter grows to while one replacement follows another.
+	replaceMax = 5 * time.Second
+	// replaceWindow is how long a change of the leader makes the next replacement wait longer.
+	replaceWindow = 10 * time.Second
+	// commitFactor is the multiple of the leader's average commit time that replaceAfter is at least.
+	commitFactor = 5
 	// replaceSlowAfter replaces replaceAfter when the table is slow for this daemon too.
 	replaceSlowAfter = 3 * time.Second
 	// slowReadWindow is how long the table counts as slow after a slow read: the leader's commit may be one of
@@ -151,8 +157,10 @@
 func (n *Node) shouldReplace(ctx context.Context, f *follower) bool {
 	f.mu.Lock()
 	age := f.lastPong.CommitAgeMS + n.clock.Now() - f.lastPong.At
+	commitTime := time.Duration(f.lastPong.CommitMS) * time.Millisecond
 	f.mu.Unlock()
-	if age < (replaceAfter+n.candidacyDelay(f.leader.Name)).Milliseconds() || n.isDraining() {
+	allowed := n.replacementDelay(commitTime) + n.candidacyDelay(f.leader.Name)
+	if age < allowed.Milliseconds() || n.isDraining() {
 		return false
 	}
 	began := n.clock.Now()
@@ -168,10 +176,25 @@
 		n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "ReadMS": now - began}).Debug("TableSlowForAll")
 		return false
 	}
-	n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "Version": row.Version}).Warn("LeaderCannotWrite")
+	n.log.WithFields(log.Fields{"Leader": leader.Name, "CommitMSAgo": age, "AllowedMS": allowed.Milliseconds(), "Version": row.Version}).Warn("LeaderCannotWrite")
 	return true
 }
 
+// replacementDelay is how long a reachable leader may go without a commit, given the average time that its commits take.
+// It doubles with each recent change of the leader after the first: a replacement that has not helped costs more
+// than it brings.
+func (n *Node) replacementDelay(commitTime time.Duration) time.Duration {
+	d := max(replaceAfter, commitFactor*commitTime)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	n.leaderChanges = slices.DeleteFunc(n.leaderChanges, func(at ibiscell.Time) bool { return now-at > replaceWindow.Milliseconds() })
+	for range len(n.leaderChanges) - 1 {
+		d *= 2
+	}
+	return min(d, replaceMax)
+}
+
 // acquireAndLead tries to acquire leadership from the leader of the given epoch, and leads the cell until the
 // term is over. Requested says that this daemon was told to replace the leader, or decided to while linked.
 func (n *Node) acquireAndLead(ctx context.Context, epoch int64, requested bool) {
@@ -184,15 +207,37 @@
 	termCtx, cancel := context.WithCancel(ctx)
 	t.ctx, t.cancel = termCtx, cancel
 	defer cancel()
+	stopHeartbeat := t.heartbeatWhileRecovering()
 	e, err := t.recoverCell()
+	stopHeartbeat()
 	if err != nil {
 		t.log.WithError(err).Error("RecoveryFailed")
 		return
 	}
+	t.startedAt = t.n.clock.Now()
 	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired}).Info("LeadTaken")
 	t.lead(e)
 }
 
+// heartbeatWhileRecovering changes the leader row while this daemon reads the journal, which may take longer than
+// other daemons wait for a leader that seems to have failed. The clean-up ends it.
+func (t *term) heartbeatWhileRecovering() (stop func()) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for t.n.sleep(ctx, heartbeatInterval) {
+			if err := t.commit(nil); err != nil {
+				t.log.WithError(err).Info("HeartbeatFailed")
+				return
+			}
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // acquire writes this daemon into the leader row with the next epoch. It reports false when another daemon has
 // acquired leadership since the given epoch, or when acquireAttempts have failed.
 func (n *Node) acquire(ctx context.Context, epoch int64) (*term, bool) {
@@ -287,6 +332,7 @@
 		e.SetConfig(cfg)
 	}
 	e.SetServers(now, servers)
+	t.relays.setServers(servers, t.n.settings.DirectServers)
 	e.Recover(now, rows)
 	return e, nil
 }
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,24 @@
 	out    *outbox
 	pingAt atomic.Int64 // arrival of the last ping, on the node's clock
 
-	draining atomic.Bool // the other daemon is being stopped
+	draining    atomic.Bool // the other daemon is being stopped
+	toldMembers bool        // the other daemon has been sent the list of members; guarded by term.mu
+
+	// Owned by the engine's goroutine.
+	targets      map[ibiscell.Target]int // index of each server named to the relay
+	failures     int                     // orders since the last one that a server answered
+	failingSince ibiscell.Time           // first of failures
+	asideUntil   ibiscell.Time           // the daemon isn't used as a relay before this time
+
+	mu        sync.Mutex
+	pending   map[uint64]pendingOrder // orders without an outcome, by number
+	lastOrder uint64
+
+	running map[int][]runningRecord // what each server runs, by target; owned by the goroutine that reads the link
+}
+
+func newLink(m member) *link {
+	return &link{member: m, out: newOutbox(), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
 }
 
 // serveLink serves a link that another daemon has opened. A daemon that doesn't lead, or leads with a lower epoch
@@ -44,7 +62,7 @@
 		}
 		return Error.New("daemon %q does not lead the cell with the epoch that the hello requires", n.settings.Name)
 	}
-	l := &link{member: f.Hello.Member, out: newOutbox()}
+	l := newLink(f.Hello.Member)
 	l.pingAt.Store(n.clock.Now())
 	t.addLink(l)
 	defer t.removeLink(l)
@@ -85,6 +103,7 @@
 	delete(t.links, l)
 	t.mu.Unlock()
 	l.out.close()
+	t.expireOrders(l, math.MaxInt64)
 	t.log.WithField("Peer", l.Name).Info("LinkClosed")
 	if t.ctx.Err() == nil {
 		go t.probeMember(l.member)
@@ -117,6 +136,13 @@
 	for _, a := range f.AdviceResults {
 		t.handleAdvice(a)
 	}
+	if len(f.Results) > 0 {
+		t.handleResults(l, f.Results)
+	}
+	for k := range f.ScoutReports {
+		t.handleScoutConfig(&f.ScoutReports[k])
+		t.enqueue(func(e *ibiscell.Engine) { t.handleScoutReport(e, l, &f.ScoutReports[k]) })
+	}
 	if f.Ping != nil {
 		l.pingAt.Store(t.n.clock.Now())
 		l.draining.Store(f.Ping.Draining)
@@ -130,7 +156,7 @@
 	confirmedAt, version := t.n.configStatus()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := &pong{At: p.At, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load()}
+	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS()}
 	if now-t.countedAt < maxCountsAge.Milliseconds() {
 		out.WaitingJobs = t.waitingJobs
 	}
@@ -144,11 +170,16 @@
 	out    *outbox
 
 	mu       sync.Mutex
-	pending  map[uint64]func(Reply) // by Request.N
+	running  map[int][]runningRecord // what each server runs, by target, as last sent to the leader
+	pending  map[uint64]func(Reply)  // by Request.N
 	lastN    uint64
 	closed   bool
 	pongAt   ibiscell.Time // arrival of lastPong
 	lastPong pong
+
+	// Owned by follow.
+	targets   []ibiscell.Target // named by the leader's orders
+	stopScout context.CancelFunc
 }
 
 // request sends r to the leader. When the link breaks before the reply, answer is called with NotLeader.
@@ -184,13 +215,13 @@
 func (n *Node) follow(ctx context.Context, leader leaderRow) (linked bool, transfer *leadershipTransfer) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, closeLink, err := ibisrpc.OpenLink[frame](ctx, leader.Address, linkOpenTimeout)
+	s, closeLink, err := ibisrpc.OpenLink[frame](ctx, n.registry, leader.Address, linkOpenTimeout)
 	if err != nil {
 		n.log.WithFields(log.Fields{"Leader": leader.Name, "Epoch": leader.Epoch}).WithError(err).Info("LinkRefused")
 		return false, nil
 	}
 	defer closeLink()
-	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), pongAt: n.clock.Now()}
+	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), running: make(map[int][]runningRecord), pongAt: n.clock.Now()}
 	f.lastPong.At = f.pongAt // until the first pong, the leader counts as healthy, with a commit just now
 	f.out.put(&frame{Hello: &hello{Member: n.member(), Epoch: leader.Epoch}, Ping: f.newPing()})
 	frames, recvErr := make(chan *frame), make(chan error, 1)
@@ -273,9 +304,18 @@
 	for _, a := range m.Advise {
 		go func() { f.out.put(&frame{AdviceResults: []adviceResult{f.n.callAdvice(ctx, a)}}) }()
 	}
+	for k := range m.Orders {
+		f.relayOrders(ctx, &m.Orders[k])
+	}
+	if m.Scout != nil {
+		f.handleScoutOrder(ctx, m.Scout)
+	}
 	if m.Members != nil {
 		f.n.setMembers(m.Members)
 	}
+	for k := range m.MemberChanges {
+		f.n.changeMembers(&m.MemberChanges[k])
+	}
 	if m.Config != nil {
 		f.n.setConfig(m.Config, "Leader")
 	}
--- a/ibisnode/member.go
+++ b/ibisnode/member.go
@@ -1,6 +1,8 @@
 package ibisnode
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,7 +51,7 @@
 func (m member) hash() uint64 { return xxhash.Sum64String(m.Name) }
 
 func (n *Node) member() member {
-	return member{Name: n.settings.Name, Address: n.settings.Address, Power: n.settings.Power, Started: n.startedMS}
+	return member{Name: n.settings.Name, Address: n.settings.Address, Power: n.settings.Power, Started: n.startedMS, FailureDomain: n.settings.FailureDomain}
 }
 
 // setMembers records the daemons of the cell, as named by the leader.
@@ -65,6 +67,7 @@
 	defer n.mu.Unlock()
 	if row.Epoch > n.latestLeader.Epoch {
 		n.latestLeader = row
+		n.leaderChanges = append(n.leaderChanges, n.clock.Now())
 	}
 }
 
@@ -75,7 +78,18 @@
 	return n.latestLeader
 }
 
-// broadcastMembers sends the list of members to all linked daemons if it has changed.
+// changeMembers applies a change of the list of members.
+func (n *Node) changeMembers(c *memberChange) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	replaced := func(m member) bool {
+		return slices.Contains(c.Gone, m.Name) || slices.ContainsFunc(c.Changed, func(o member) bool { return o.Name == m.Name })
+	}
+	n.members = append(slices.DeleteFunc(slices.Clone(n.members), replaced), c.Changed...)
+}
+
+// broadcastMembers tells the linked daemons how the list of members has changed since it last did. A daemon that is
+// newly linked gets the whole list.
 func (t *term) broadcastMembers() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -83,13 +97,32 @@
 		return
 	}
 	t.membersChanged = false
-	members := []member{t.n.member()}
+	current := map[string]member{t.n.settings.Name: t.n.member()}
 	for l := range t.links {
-		members = append(members, l.member)
+		current[l.Name] = l.member
 	}
+	var change memberChange
+	for name, m := range current {
+		if t.knownMembers[name] != m {
+			change.Changed = append(change.Changed, m)
+		}
+	}
+	for name := range t.knownMembers {
+		if _, ok := current[name]; !ok {
+			change.Gone = append(change.Gone, name)
+		}
+	}
+	t.knownMembers = current
+	members := slices.Collect(maps.Values(current))
 	t.n.setMembers(members)
 	for l := range t.links {
-		l.out.put(&frame{Members: members})
+		switch {
+		case !l.toldMembers:
+			l.out.put(&frame{Members: members})
+			l.toldMembers = true
+		case len(change.Changed)+len(change.Gone) > 0:
+			l.out.put(&frame{MemberChanges: []memberChange{change}})
+		}
 	}
 }
 
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -51,6 +51,9 @@
 	Power    float64 // CPU work that this VM does per second, in cores
 	RevokeMS int64   // time in milliseconds within which a withdrawn key must stop working
 	Cell     ibiscell.Settings
+
+	FailureDomain string // of this daemon's VM
+	DirectServers int    // backend servers that a leader calls itself; with more, relays make the calls; 0: 64
 }
 
 // Ports are a daemon's connections to the platform.
@@ -90,6 +93,7 @@
 	draining          bool              // TransferLeadership was called
 	members           []member          // all daemons, as last named by a leader
 	latestLeader      leaderRow         // the leader with the highest known epoch
+	leaderChanges     []ibiscell.Time   // when latestLeader has changed within replaceWindow
 
 	steppedDownAt ibiscell.Time // when this daemon last gave up leadership; owned by followOrLead
 	slowReadAt    atomic.Int64  // when a read of the table was last slow, on the node's clock; 0: never
@@ -97,6 +101,7 @@
 
 // New makes a daemon that does nothing before Start.
 func New(settings Settings, p Ports) *Node {
+	settings.DirectServers = cmp.Or(settings.DirectServers, defaultDirectServers)
 	return &Node{
 		settings: settings, table: p.Table, directory: p.Directory, servers: p.Servers, advisor: p.Advisor, clock: p.Clock,
 		log: p.Log, registry: p.Registry, routeChanged: make(chan struct{}), unavailable: make(map[string]bool),
@@ -114,7 +119,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	srv := ibisrpc.NewLinkServer(n.serveLink)
+	srv := ibisrpc.NewLinkServer(n.registry, n.serveLink)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { n.runLinkServer(srv, l) })
--- a/ibisnode/node_test.go
+++ b/ibisnode/node_test.go
@@ -29,6 +29,9 @@
 	loseReplies bool          // apply commits, but lose every second reply
 	commitTime  time.Duration // of each commit; slow commits are applied one by one, and a read takes half as long
 	busyUntil   time.Time     // when all queued commits have been applied
+	fastReads   bool          // reads take no time even if commits do
+	scanTime    time.Duration // of each scan
+	servers     []ibiscell.ServerInfo
 }
 
 // maxQueueTime is the time in the queue beyond which a slow table refuses commits.
@@ -64,6 +67,8 @@
 	*sharedTable
 	stateMu     sync.Mutex
 	unavailable bool
+
+	serverReads atomic.Int64 // calls of Servers
 }
 
 func (v *tableView) setUnavailable(unavailable bool) {
@@ -136,7 +141,12 @@
 	if err := v.check(ctx); err != nil {
 		return ibisnode.Row{}, err
 	}
-	time.Sleep(v.currentCommitTime() / 2)
+	v.mu.Lock()
+	fast := v.fastReads
+	v.mu.Unlock()
+	if !fast {
+		time.Sleep(v.currentCommitTime() / 2)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.rows[rowID(table, part, key)], nil
@@ -147,6 +157,10 @@
 		return nil, err
 	}
 	v.mu.Lock()
+	scanTime := v.scanTime
+	v.mu.Unlock()
+	time.Sleep(scanTime)
+	v.mu.Lock()
 	defer v.mu.Unlock()
 	for k, r := range v.rows {
 		if strings.HasPrefix(k, rowID(table, part, "")) {
@@ -171,15 +185,60 @@
 	if err := v.check(ctx); err != nil {
 		return nil, err
 	}
-	return []ibiscell.ServerInfo{{Target: ibiscell.Target{ID: "s", Address: "s", Incarnation: 1}, Service: "svc", Capacity: ibiswork.Resources{MilliCPU: 64_000, MemoryMB: 64_000}}}, nil
+	v.serverReads.Add(1)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.servers), nil
+}
+
+// fleet is the backend servers, by ID.
+type fleet map[string]*fakeServer
+
+func (f fleet) Start(ctx context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
+	return f[c.Target.ID].Start(ctx, c)
+}
+
+func (f fleet) Stop(ctx context.Context, c ibiscell.Stop) ibiscell.OrderOutcome {
+	return f[c.Target.ID].Stop(ctx, c)
+}
+
+func (f fleet) Renew(ctx context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	return f[c.Target.ID].Renew(ctx, c)
+}
+
+// fleetView is one daemon's access to the backend servers; it can be cut off.
+type fleetView struct {
+	fleet
+	calls atomic.Int64
+	cut   atomic.Bool
+}
+
+func (v *fleetView) Start(ctx context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
+	v.calls.Add(1)
+	if v.cut.Load() {
+		<-ctx.Done()
+		return ibiscell.OrderUnknown
+	}
+	return v.fleet.Start(ctx, c)
 }
 
-// fakeServer is the only backend server; it ends every run at once.
+func (v *fleetView) Renew(ctx context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	v.calls.Add(1)
+	if v.cut.Load() {
+		<-ctx.Done()
+		return ibiscell.Report{}, ibiscell.OrderUnknown
+	}
+	return v.fleet.Renew(ctx, c)
+}
+
+// fakeServer is a backend server; it ends every run at once.
 type fakeServer struct {
 	mu     sync.Mutex
 	epoch  int64
 	ended  []ibiscell.RunEnd
 	starts map[string]int
+
+	renewals atomic.Int64
 }
 
 func (s *fakeServer) Start(_ context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
@@ -200,6 +259,7 @@
 }
 
 func (s *fakeServer) Renew(_ context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	s.renewals.Add(1)
 	time.Sleep(10 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,6 +300,7 @@
 	table  *tableView
 	link   *ibisharness.Link
 	events *events
+	fleet  *fleetView
 	stop   func()
 }
 
@@ -250,12 +311,21 @@
 type group struct {
 	t       *testing.T
 	table   *sharedTable
-	server  *fakeServer
+	fleet   fleet
+	direct  int // setting DirectServers of the daemons
 	members []*member
 }
 
-func newGroup(t *testing.T, powers ...float64) *group {
-	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}}, server: &fakeServer{starts: map[string]int{}}}
+// newGroup starts a daemon for each power, with one backend server.
+func newGroup(t *testing.T, powers ...float64) *group { return newGroupOf(t, 1, 0, powers...) }
+
+// newGroupOf starts a daemon for each power, with a number of backend servers, of which a leader calls direct ones
+// without relays.
+func newGroupOf(t *testing.T, servers, direct int, powers ...float64) *group {
+	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}}, fleet: fleet{}, direct: direct}
+	for n := range servers {
+		g.addServer(fmt.Sprint("s", n))
+	}
 	for _, p := range powers {
 		g.addMember(p)
 	}
@@ -263,13 +333,21 @@
 	return g
 }
 
+// addServer lists one more backend server, before the first daemon starts.
+func (g *group) addServer(id string) {
+	g.fleet[id] = &fakeServer{starts: map[string]int{}}
+	g.table.servers = append(g.table.servers, ibiscell.ServerInfo{
+		Target: ibiscell.Target{ID: id, Address: id, Incarnation: 1}, Service: "svc", Capacity: ibiswork.Resources{MilliCPU: 64_000, MemoryMB: 64_000},
+	})
+}
+
 // addMember starts one more daemon; the others reach it through a link that can fail.
 func (g *group) addMember(power float64) *member {
-	m := &member{name: fmt.Sprintf("n%d", len(g.members)), table: &tableView{sharedTable: g.table}, events: &events{n: map[string]int{}}}
+	m := &member{name: fmt.Sprintf("n%d", len(g.members)), table: &tableView{sharedTable: g.table}, fleet: &fleetView{fleet: g.fleet}, events: &events{n: map[string]int{}}}
 	listen := ibisharness.FreeAddress(g.t)
 	m.link = ibisharness.NewLink(g.t, m.name, listen)
-	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000}, ibisnode.Ports{
-		Table: m.table, Directory: m.table, Servers: g.server, Clock: systemClock{}, Registry: metrics.NewRegistry(),
+	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct}, ibisnode.Ports{
+		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: metrics.NewRegistry(),
 		Log: &log.Logger{Handler: m.events, Level: log.InfoLevel},
 	})
 	stop, err := m.Start()
@@ -315,9 +393,15 @@
 
 func (g *group) assertRanOnce() {
 	g.t.Helper()
-	g.server.mu.Lock()
-	defer g.server.mu.Unlock()
-	for task, n := range g.server.starts {
+	total := map[string]int{}
+	for _, s := range g.fleet {
+		s.mu.Lock()
+		for task, n := range s.starts {
+			total[task] += n
+		}
+		s.mu.Unlock()
+	}
+	for task, n := range total {
 		assert.Equal(g.t, n, 1, "%s was started %d times", task, n)
 	}
 }
@@ -440,6 +524,44 @@
 	g.assertRanOnce()
 }
 
+// TestLeaderThatReadsALongJournalIsNotReplaced makes a new leader take longer to read the journal than other daemons
+// wait for a leader that has failed.
+func TestLeaderThatReadsALongJournalIsNotReplaced(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1)
+	g.table.mu.Lock()
+	g.table.scanTime = 2 * time.Second
+	g.table.mu.Unlock()
+	old := g.leader()
+	old.stop()
+	g.members = g.others(old)
+	g.awaitServing(g.members...)
+	taken := 0
+	for _, m := range g.members {
+		taken += m.events.count("LeadTaken") + m.events.count("RecoveryFailed")
+	}
+	assert.Equal(t, taken, 1)
+	g.assertRanOnce()
+}
+
+// TestReplacementThatDoesNotHelpIsNotRepeatedAtOnce makes commits slow for every daemon while reads are quick, as on
+// a link that the leader's own traffic fills. Each new leader claims all servers, so that replacing one after the
+// other makes it worse.
+func TestReplacementThatDoesNotHelpIsNotRepeatedAtOnce(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1)
+	g.table.mu.Lock()
+	g.table.fastReads, g.table.commitTime = true, 900*time.Millisecond
+	g.table.mu.Unlock()
+	time.Sleep(12 * time.Second)
+	taken := 0
+	for _, m := range g.members {
+		taken += m.events.count("LeadTaken")
+	}
+	assert.Assert(t, taken <= 1+3, "leadership was taken %d times", taken)
+	g.table.setCommitTime(0)
+	g.awaitServing(g.members...)
+	g.assertRanOnce()
+}
+
 // TestLeaderIsNotReplacedBeforeItsFirstPong checks that a follower that doesn't know the age of the leader's last
 // commit yet doesn't take the leader for one that can't write.
 func TestLeaderIsNotReplacedBeforeItsFirstPong(t *testing.T) {
--- /dev/null
+++ b/ibisnode/scout.go
@@ -0,0 +1,200 @@
+package ibisnode
+
+import (
+	"context"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+)
+
+// A scout reads the list of backend servers and the configuration for a leader with many servers, and sends it only
+// what has changed. Most of what these reads return is what the leader knows already.
+
+// scoutTimeout is how old the news of a scout may be. After that the leader reads for itself and takes another scout.
+const scoutTimeout = 1500 * time.Millisecond
+
+// scoutReport is what a scout has read. Servers change only in a report that says so.
+type scoutReport struct {
+	At            ibiscell.Time         `cbor:"1,keyasint"`           // lower bound of when the reads began, on the leader's clock
+	ConfigVersion int64                 `cbor:"2,keyasint,omitempty"` // 0: the configuration hasn't been read
+	Config        *ibisjob.Config       `cbor:"3,keyasint,omitempty"` // if it is new to the leader
+	Servers       bool                  `cbor:"4,keyasint,omitempty"` // the servers have been read
+	All           bool                  `cbor:"5,keyasint,omitempty"` // Changed lists all servers
+	Changed       []ibiscell.ServerInfo `cbor:"6,keyasint,omitempty"`
+	Gone          []string              `cbor:"7,keyasint,omitempty"` // IDs of servers that are no longer listed
+}
+
+// scoutState is what the leader knows from its scout. It is owned by the engine's goroutine.
+type scoutState struct {
+	link    *link         // nil: the leader reads for itself
+	since   ibiscell.Time // when it was chosen
+	at      ibiscell.Time // of its last report
+	servers map[string]ibiscell.ServerInfo
+}
+
+// fresh reports whether the leader may leave its reads to the scout.
+func (s *scoutState) fresh(now ibiscell.Time) bool {
+	return s.link != nil && s.servers != nil && now-s.at < scoutTimeout.Milliseconds()
+}
+
+// updateScout chooses a scout when there are relays: a daemon that is not among them if there is one.
+func (t *term) updateScout(candidates []*link) {
+	now := t.n.clock.Now()
+	s := &t.scout
+	if s.link != nil && slices.Contains(candidates, s.link) && now-max(s.at, s.since) < scoutTimeout.Milliseconds() {
+		return
+	}
+	failed := s.link
+	*s = scoutState{}
+	if t.relays.wanted > 0 {
+		for _, l := range slices.Backward(candidates) {
+			if l != failed {
+				*s = scoutState{link: l, since: now}
+				break
+			}
+		}
+	}
+	t.scoutFresh.Store(false)
+	if failed != nil && failed != s.link {
+		failed.out.put(&frame{Scout: &scoutOrder{}})
+	}
+	if s.link != nil {
+		s.link.out.put(&frame{Scout: &scoutOrder{On: true}})
+		t.log.WithField("Scout", s.link.Name).Info("ScoutChosen")
+	}
+}
+
+// scoutOrder makes a daemon begin or end being the leader's scout.
+type scoutOrder struct {
+	On bool `cbor:"1,keyasint,omitempty"`
+}
+
+// handleScoutConfig applies the configuration of a scout's report. That of a former scout is as good as any.
+func (t *term) handleScoutConfig(r *scoutReport) {
+	if r.Config != nil {
+		t.n.setConfig(r.Config, "Scout")
+	}
+	if r.ConfigVersion > 0 {
+		t.n.confirmConfig(r.ConfigVersion, r.At)
+	}
+}
+
+// handleScoutReport applies the servers of a report of l on the engine's goroutine. The reports of one link arrive in order, and each
+// is based on the one before it.
+func (t *term) handleScoutReport(e *ibiscell.Engine, l *link, r *scoutReport) {
+	s := &t.scout
+	now := t.n.clock.Now()
+	if l != s.link || now-r.At > scoutTimeout.Milliseconds() || r.Servers && !r.All && s.servers == nil {
+		t.log.WithFields(log.Fields{"Scout": l.Name, "AgeMS": now - r.At}).Info("ScoutReportDropped")
+		if l == s.link {
+			s.at, s.since = 0, 0 // the next report is based on this one
+		}
+		return
+	}
+	if !r.Servers {
+		return
+	}
+	s.at = r.At
+	t.scoutFresh.Store(true)
+	if r.All {
+		s.servers = make(map[string]ibiscell.ServerInfo, len(r.Changed))
+	}
+	for _, info := range r.Changed {
+		s.servers[info.ID] = info
+	}
+	for _, id := range r.Gone {
+		delete(s.servers, id)
+	}
+	if r.All || len(r.Changed) > 0 || len(r.Gone) > 0 {
+		t.setServers(e, slices.Collect(maps.Values(s.servers)))
+	}
+}
+
+// setServers passes the list of backend servers on to the engine.
+func (t *term) setServers(e *ibiscell.Engine, list []ibiscell.ServerInfo) {
+	e.SetServers(t.n.clock.Now(), list)
+	t.relays.setServers(list, t.n.settings.DirectServers)
+}
+
+// handleScoutOrder begins or ends being the leader's scout.
+func (f *follower) handleScoutOrder(ctx context.Context, o *scoutOrder) {
+	if f.stopScout != nil {
+		f.stopScout()
+		f.stopScout = nil
+	}
+	if o.On {
+		ctx, f.stopScout = context.WithCancel(ctx)
+		go f.scout(ctx)
+	}
+}
+
+// scout reads the servers and the configuration until ctx ends, and reports what has changed.
+func (f *follower) scout(ctx context.Context) {
+	known := make(map[string]ibiscell.ServerInfo)
+	first := true
+	for f.n.sleep(ctx, serversInterval) {
+		at := f.leaderNow()
+		if at == 0 {
+			continue
+		}
+		r := &scoutReport{At: at}
+		f.scoutConfig(ctx, r)
+		list, err := f.scoutServers(ctx)
+		if err != nil {
+			f.n.dependencyLost("Servers", err)
+		} else {
+			f.n.dependencyBack("Servers")
+			r.Servers, r.All = true, first
+			first = false
+			r.addChanges(known, list)
+		}
+		if (r.Servers || r.ConfigVersion > 0) && !f.out.put(&frame{ScoutReports: []scoutReport{*r}}) {
+			return // the next report would be based on one that is lost
+		}
+	}
+}
+
+func (f *follower) scoutServers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.n.directory.Servers(ctx)
+}
+
+// scoutConfig reads the configuration and adds it to r if it is newer than the leader's.
+func (f *follower) scoutConfig(ctx context.Context, r *scoutReport) {
+	if !f.n.readConfig(ctx) {
+		return
+	}
+	cfg := f.n.Config()
+	f.mu.Lock()
+	leaderVersion := f.lastPong.Version
+	f.mu.Unlock()
+	r.ConfigVersion = cfg.Version
+	if cfg.Version > leaderVersion {
+		r.Config = cfg
+	}
+}
+
+// addChanges adds what distinguishes list from the known servers, and brings these up to date.
+func (r *scoutReport) addChanges(known map[string]ibiscell.ServerInfo, list []ibiscell.ServerInfo) {
+	present := make(map[string]bool, len(list))
+	for _, info := range list {
+		present[info.ID] = true
+		if old, ok := known[info.ID]; !ok || !reflect.DeepEqual(old, info) {
+			known[info.ID] = info
+			r.Changed = append(r.Changed, info)
+		}
+	}
+	for id := range known {
+		if !present[id] {
+			delete(known, id)
+			r.Gone = append(r.Gone, id)
+		}
+	}
+}
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -51,8 +51,13 @@
 	batches chan *ibiscell.Batch // to the committing goroutine
 	done    chan struct{}        // closed when the term is over
 
-	commitAt     atomic.Int64 // of the last commit, on the node's clock
-	steppingDown atomic.Bool  // leadership is to be given up with the next commit
+	startedAt    ibiscell.Time
+	relays       relaySet
+	scout        scoutState
+	scoutFresh   atomic.Bool      // the scout reads the servers and the configuration
+	traffic      map[string]int64 // counters of bytes as last logged
+	commitAt     atomic.Int64     // of the last commit, on the node's clock
+	steppingDown atomic.Bool      // leadership is to be given up with the next commit
 
 	mu             sync.Mutex
 	links          map[*link]bool
@@ -61,6 +66,7 @@
 	countedAt      ibiscell.Time          // when waitingJobs were counted
 	loadReports    int                    // number of calls of reportLoad
 	membersChanged bool                   // since the members were last sent to the linked daemons
+	knownMembers   map[string]member      // as last sent, by name
 	pending        map[uint64]func(Reply) // requests without an answer, by their ID in the engine
 	lastRequestID  uint64
 }
@@ -147,9 +153,7 @@
 			e.SetUnixTime(now, t.n.clock.UnixMS())
 			e.Tick(now)
 		}
-		for _, c := range e.Commands() {
-			t.execute(c)
-		}
+		t.dispatch(e.Commands())
 		t.offerBatch(e, now)
 		if now-loadAt > loadInterval.Milliseconds() {
 			loadAt = now
@@ -158,6 +162,9 @@
 		if now-linksAt > pingInterval.Milliseconds() {
 			linksAt = now
 			t.checkLinks()
+			t.updateRelays()
+		} else if len(t.relays.held) > 0 {
+			t.updateRelays()
 		}
 	}
 }
@@ -198,6 +205,7 @@
 		"Jobs": l.Jobs, "ReadySteps": l.ReadySteps, "Runs": l.Runs, "Servers": l.Servers, "Usable": l.Usable,
 		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links, "Asks": l.QueuedAdviceCalls, "IdleHelpers": l.IdleHelpers, "BacklogMS": l.BacklogMS,
 	}).Info("CellLoad")
+	t.reportTraffic()
 	if t.loadReports++; t.loadReports%transferCheckReports == 0 {
 		t.transferLeadership(t.n.settings.Power / weakPowerRatio)
 	}
@@ -424,6 +432,9 @@
 // pollServers keeps the list of backend servers up to date.
 func (t *term) pollServers() {
 	for t.n.sleep(t.ctx, serversInterval) {
+		if t.scoutFresh.Load() {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
 		list, err := t.n.directory.Servers(ctx)
 		cancel()
@@ -432,13 +443,20 @@
 			continue
 		}
 		t.n.dependencyBack("Servers")
-		t.enqueue(func(e *ibiscell.Engine) { e.SetServers(t.n.clock.Now(), list) })
+		t.enqueue(func(e *ibiscell.Engine) {
+			if !t.scout.fresh(t.n.clock.Now()) {
+				t.setServers(e, list)
+			}
+		})
 	}
 }
 
 // pollConfig keeps the configuration up to date.
 func (t *term) pollConfig() {
 	for t.n.sleep(t.ctx, configInterval) {
+		if confirmedAt, _ := t.n.configStatus(); t.scoutFresh.Load() && t.n.clock.Now()-confirmedAt < scoutTimeout.Milliseconds() {
+			continue
+		}
 		t.n.readConfig(t.ctx)
 	}
 }
--- a/ibisnode/transfer.go
+++ b/ibisnode/transfer.go
@@ -54,13 +54,18 @@
 	now := t.n.clock.Now()
 	t.mu.Lock()
 	silent, total := len(t.unreached), len(t.unreached)
+	links := make([]*link, 0, len(t.links))
 	for l := range t.links {
+		links = append(links, l)
 		total++
 		if now-l.pingAt.Load() > pingTimeout.Milliseconds() {
 			silent++
 		}
 	}
 	t.mu.Unlock()
+	for _, l := range links {
+		t.expireOrders(l, now)
+	}
 	if total < 2 || 2*silent <= total || t.steppingDown.Load() {
 		return
 	}
--- a/ibisrpc/meter.go
+++ b/ibisrpc/meter.go
@@ -41,3 +41,33 @@
 func (m meter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 
 func (m meter) HandleConn(context.Context, stats.ConnStats) {}
+
+// linkMeter is a gRPC stats handler that counts the messages of links and their bytes, in the counters CallsLink,
+// BytesOutLink and BytesInLink.
+type linkMeter struct {
+	messages, out, in metrics.Counter
+}
+
+func newLinkMeter(r metrics.Registry) linkMeter {
+	return linkMeter{
+		messages: metrics.GetOrRegisterCounter("CallsLink", r),
+		out:      metrics.GetOrRegisterCounter("BytesOutLink", r),
+		in:       metrics.GetOrRegisterCounter("BytesInLink", r),
+	}
+}
+
+func (m linkMeter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (m linkMeter) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch s := s.(type) {
+	case *stats.InPayload:
+		m.in.Inc(int64(s.WireLength))
+	case *stats.OutPayload:
+		m.messages.Inc(1)
+		m.out.Inc(int64(s.WireLength))
+	}
+}
+
+func (m linkMeter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (m linkMeter) HandleConn(context.Context, stats.ConnStats) {}
--- a/ibisrpc/stream.go
+++ b/ibisrpc/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -35,9 +36,9 @@
 }
 
 // NewLinkServer returns a server of links, which are streams with a connection of their own. It calls serve for
-// each link; the link ends when serve returns.
-func NewLinkServer[M any](serve func(ctx context.Context, s Stream[M]) error) *grpc.Server {
-	srv := grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
+// each link; the link ends when serve returns. Messages and bytes are counted in r.
+func NewLinkServer[M any](r metrics.Registry, serve func(ctx context.Context, s Stream[M]) error) *grpc.Server {
+	srv := grpc.NewServer(grpc.StatsHandler(newLinkMeter(r)), grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
 	srv.RegisterService(&grpc.ServiceDesc{ServiceName: linkService, HandlerType: (*any)(nil), Streams: []grpc.StreamDesc{{
 		StreamName: "Open", ServerStreams: true, ClientStreams: true,
 		Handler: func(_ any, s grpc.ServerStream) error { return serve(s.Context(), Stream[M]{s}) },
@@ -47,10 +48,11 @@
 
 // OpenLink opens a link to the daemon at address. If that fails or takes longer than timeout, the error is of
 // class Unknown; an address that cannot be parsed gives one of class Error. The second result closes the stream
-// and its connection.
-func OpenLink[M any](ctx context.Context, address string, timeout time.Duration) (Stream[M], func(), error) {
+// and its connection. Messages and bytes are counted in r.
+func OpenLink[M any](ctx context.Context, r metrics.Registry, address string, timeout time.Duration) (Stream[M], func(), error) {
 	cc, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStatsHandler(newLinkMeter(r)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: timeout}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
