ibiscell: do not start with tickets that expire during the commit

A ticket that was good for 60 ms more was used, and expired while its assignment was committed; the refusal cost another call and another commit.

Change: a ticket must outlast the expected commit, up to 0.6 of its validity. If it has expired all the same when the assignment is committed, it is renewed and the start sent without another commit.

--- a/ibiscell/advice.go
+++ b/ibiscell/advice.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	ticketMarginMS       = 60   // validity left at placement, for the commit, the start order and the server's check
+	ticketMarginMS       = 40   // validity left after the commit, for the start order and the server's check
+	maxTicketWait        = 0.6  // largest part of a ticket's validity that the commit may be expected to take
 	advicePauseMS        = 250  // between calls for a step that needs more approved servers
 	adviceFailedPauseMS  = 120  // before the next call for the step after a failed one
 	adviceTimeoutSlackMS = 1500 // timeout of a call, on top of maxCallsPerHelper times its expected duration
@@ -28,7 +29,8 @@
 	incarnation int64
 	ok          bool
 	ticket      string
-	until       Time // expiry of the ticket
+	until       Time  // expiry of the ticket
+	validMS     int64 // validity of the ticket when it was received
 }
 
 // adviceCache holds the answers of the advice service for one step. Whether a server may run the step never
@@ -66,9 +68,11 @@
 	}
 }
 
-// valid reports whether the ticket can be used for a run placed now on the current incarnation of s.
-func (ap *approval) valid(s *server, now Time) bool {
-	return ap.ok && ap.incarnation == s.info.Incarnation && now+ticketMarginMS < ap.until
+// ticketValid reports whether the ticket can be used for a run placed now on the current incarnation of s: it must
+// outlast the commit of the assignment. While commits take longer than tickets last, fresh ones are tried all the same.
+func (e *Engine) ticketValid(ap *approval, s *server) bool {
+	wait := min(e.journal.expectedWait(e.now), int64(maxTicketWait*float64(ap.validMS)))
+	return ap.ok && ap.incarnation == s.info.Incarnation && e.now+wait+ticketMarginMS < ap.until
 }
 
 // adviceCall is one call to the advice service, queued or in progress.
@@ -206,7 +210,7 @@
 func (e *Engine) dropCall(a *adviceCall) {
 	a.step.adviceCache.pendingCalls--
 	for _, r := range a.pendingRuns {
-		e.release(r)
+		e.abandon(r)
 	}
 }
 
@@ -240,7 +244,7 @@
 		tickets[t.Server] = t.Ticket
 	}
 	for _, id := range a.servers {
-		ap := approval{server: id, until: now + validMS}
+		ap := approval{server: id, until: now + validMS, validMS: validMS}
 		ap.ticket, ap.ok = tickets[id]
 		if s := e.servers[id]; s != nil {
 			ap.incarnation = s.info.Incarnation
@@ -257,7 +261,7 @@
 func (e *Engine) startApproved(a *adviceCall) {
 	usable := func(r *run) bool {
 		ap := a.step.adviceCache.find(r.server.info.ID)
-		return ap != nil && ap.valid(r.server, e.now) && e.usable(r.server) && r.state == runAwaitingTicket
+		return ap != nil && e.ticketValid(ap, r.server) && e.usable(r.server) && (r.state == runAwaitingTicket || r.state == runAssigned)
 	}
 	all := true
 	for _, r := range a.pendingRuns {
@@ -267,11 +271,16 @@
 		if r.server.runs[r.name] != r {
 			continue
 		}
-		if usable(r) && (all || !a.step.spec.Gang) && !a.step.occ.job.state.Final() {
-			e.assignRun(r, a.step.adviceCache.find(r.server.info.ID).ticket)
+		if !usable(r) || !all && a.step.spec.Gang || a.step.occ.job.state.Final() {
+			e.abandon(r)
 			continue
 		}
-		e.release(r)
+		if r.state == runAssigned && e.refreshTicket(r) {
+			e.setState(r, runSent)
+			e.sendStart(r)
+			continue
+		}
+		e.assignRun(r, a.step.adviceCache.find(r.server.info.ID).ticket)
 	}
 }
 
@@ -304,7 +313,7 @@
 	e.removeCall(a)
 	a.step.adviceCache.nextCall = e.now + adviceFailedPauseMS
 	for _, r := range a.pendingRuns {
-		e.release(r)
+		e.abandon(r)
 	}
 }
 
--- a/ibiscell/candidate.go
+++ b/ibiscell/candidate.go
@@ -28,7 +28,7 @@
 		}
 		ap := &st.adviceCache.approvals[n]
 		s := e.servers[ap.server]
-		if ap.ok && s != nil && !ap.valid(s, e.now) && e.usable(s) && !slices.Contains(ids, ap.server) {
+		if ap.ok && s != nil && !e.ticketValid(ap, s) && e.usable(s) && !slices.Contains(ids, ap.server) {
 			ids = append(ids, ap.server)
 			more--
 		}
@@ -78,7 +78,7 @@
 	for n := range st.adviceCache.approvals {
 		ap := &st.adviceCache.approvals[n]
 		if s := e.servers[ap.server]; ap.ok && s != nil {
-			add(s, ap.ticket, ap.valid(s, e.now))
+			add(s, ap.ticket, e.ticketValid(ap, s))
 		}
 	}
 	return list
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -107,6 +107,7 @@
 
 	journal     journal
 	commands    []Command
+	unticketed  []*run // runs whose tickets have expired before they could be started
 	retries     []*run // runs whose start or stop order is to be sent again
 	helpers     helpers
 	adviceCalls map[int64]*adviceCall
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -76,6 +76,7 @@
 const (
 	runAwaitingTicket runState = iota // occupies capacity until its ticket arrives
 	runCommitting                     // its assignment is being committed
+	runAssigned                       // its assignment is committed; its ticket has expired and is being renewed
 	runSent                           // the start order has been sent and is not confirmed
 	runRunning                        // the server has confirmed the start
 	runStopping                       // a stop order has been sent
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -52,6 +52,7 @@
 	maxEndedInRow     = 400     // ended jobs in a row of Ended
 	endedRetentionMS  = 600_000 // the platform requires that the end of a job can be queried for at least 120 s
 	purgeIntervalMS   = 5_000
+	commitWeight      = 0.3 // of one commit in the moving average of their times
 )
 
 // endedRow describes a row of ended jobs, which is kept until the last of them may be forgotten.
@@ -84,6 +85,7 @@
 	nextPurge        Time
 	inFlight         bool
 	inFlightSince    Time
+	commitMS         float64 // moving average of the time that a commit takes
 	failing          bool
 }
 
@@ -284,6 +286,15 @@
 	}
 }
 
+// expectedWait returns the time in which a change made now is expected to be committed, in milliseconds.
+func (jn *journal) expectedWait(now Time) int64 {
+	wait := int64(jn.commitMS)
+	if jn.inFlight {
+		wait += max(int64(jn.commitMS)-(now-jn.inFlightSince), 0)
+	}
+	return wait
+}
+
 // encode returns the CBOR encoding of v. Encoding the record types of this package cannot fail.
 func encode(v any) []byte {
 	b, err := cbor.Marshal(v)
@@ -296,11 +307,13 @@
 // Committed reports that b has been written to the table, and runs its callbacks.
 func (e *Engine) Committed(now Time, b *Batch) {
 	e.now = now
+	e.journal.commitMS += commitWeight * (float64(now-e.journal.inFlightSince) - e.journal.commitMS)
 	e.journal.inFlight, e.journal.failing = false, false
 	e.lastCommit = now
 	for _, fn := range b.onCommit {
 		fn()
 	}
+	e.renewTickets()
 	for _, s := range e.sortedServers() {
 		e.acknowledge(s)
 	}
--- a/ibiscell/run.go
+++ b/ibiscell/run.go
@@ -1,6 +1,8 @@
 package ibiscell
 
 import (
+	"slices"
+
 	"github.com/apex/log"
 
 	"ibiscrank/ibisjob"
@@ -69,10 +71,57 @@
 		e.endRun(r, RunStopped, "")
 		return
 	}
+	if !e.refreshTicket(r) {
+		e.setState(r, runAssigned)
+		e.unticketed = append(e.unticketed, r)
+		return
+	}
 	e.setState(r, runSent)
 	e.sendStart(r)
 }
 
+// refreshTicket replaces the ticket of r by the latest one for its server, and reports whether that can be used now.
+func (e *Engine) refreshTicket(r *run) bool {
+	st := r.task.step
+	if e.queues[st.occ.job.spec.Queue].Advice == nil {
+		return true
+	}
+	ap := st.adviceCache.find(r.server.info.ID)
+	if ap == nil || !ap.ok || ap.incarnation != r.server.info.Incarnation || e.now+ticketMarginMS >= ap.until {
+		return false
+	}
+	r.ticket = ap.ticket
+	return true
+}
+
+// renewTickets requests new tickets for the runs whose tickets have expired while their assignments were committed.
+func (e *Engine) renewTickets() {
+	byStep := make(map[*step][]*run)
+	var steps []*step
+	for _, r := range e.unticketed {
+		st := r.task.step
+		if byStep[st] == nil {
+			steps = append(steps, st)
+		}
+		byStep[st] = append(byStep[st], r)
+	}
+	e.unticketed = nil
+	for _, st := range steps {
+		for runs := range slices.Chunk(byStep[st], maxServersPerCall) {
+			e.requestAdvice(st, serverIDs(runs), runs)
+		}
+	}
+}
+
+// abandon gives up a run that waits for a ticket.
+func (e *Engine) abandon(r *run) {
+	if r.state == runAssigned {
+		e.endRun(r, RunStopped, "")
+		return
+	}
+	e.release(r)
+}
+
 func (e *Engine) sendStart(r *run) {
 	end := int64(0)
 	if !r.server.renewFailed {
@@ -246,7 +295,7 @@
 	case runAwaitingTicket:
 		e.release(r)
 		return
-	case runCommitting:
+	case runCommitting, runAssigned:
 		e.endRun(r, RunStopped, "")
 		return
 	}
--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/apex/log"
@@ -30,6 +31,8 @@
 	denied       func(step, server string) bool // servers that advice does not approve; nil: none
 	adviceMS     func(n int) int64              // duration of a call that names n servers
 	onAdvise     func(ibiscell.Advise)
+	tickets      bool // servers refuse starts with expired tickets
+	badTickets   int  // starts that they have refused for that
 	allowRerun   bool // tasks may run again after they have succeeded
 	writtenBytes int  // values of all rows that were sent to the table
 	epoch        int64
@@ -226,9 +229,13 @@
 		}
 		w.after(w.adviceMS(len(c.Servers)), func() {
 			var ok []ibiscell.Ticket
+			ticket := "t"
+			if w.tickets {
+				ticket = fmt.Sprint(w.now + 1500)
+			}
 			for _, id := range c.Servers {
 				if w.denied == nil || !w.denied(c.Step, id) {
-					ok = append(ok, ibiscell.Ticket{Server: id, Ticket: "t"})
+					ok = append(ok, ibiscell.Ticket{Server: id, Ticket: ticket})
 				}
 			}
 			w.e.AdviceReceived(w.now, c.ID, ok, 1500, true)
@@ -269,6 +276,10 @@
 	if c.Epoch < s.epoch {
 		return ibiscell.OrderFenced
 	}
+	if until, err := strconv.ParseInt(c.Ticket, 10, 64); w.tickets && (err != nil || w.now > until) {
+		w.badTickets++
+		return ibiscell.OrderBadTicket
+	}
 	if s.refuse != "" {
 		return s.refuse
 	}
