--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -265,10 +265,14 @@
 // rowToRewrite returns the oldest row if it is too old, or if there are too many rows, else nil.
 func (e *Engine) rowToRewrite() *changeRowRef {
 	r := e.journal.oldest()
-	if r == nil || e.journal.liveRows <= maxChangeRows && e.unixOffset+e.now-r.atMS <= maxChangeRowAgeMS {
+	if r == nil {
 		return nil
 	}
-	return r
+	age := e.unixOffset + e.now - r.atMS
+	if age > maxChangeRowAgeMS || e.journal.liveRows > maxChangeRows && age > minRewriteAgeMS {
+		return r
+	}
+	return nil
 }
 
 // rewriteOldest writes the jobs again that depend on the oldest rows, so that these can be removed.
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -54,9 +54,9 @@
 
 // rowObservation records since when the leader row has had its present version.
 type rowObservation struct {
-	version      int64
-	since        ibiscell.Time // 0: the row hasn't been read yet
-	leaderSilent bool          // the link to the leader was lost; it isn't opened again before the row changes
+	version int64
+	since   ibiscell.Time // 0: the row hasn't been read yet
+	lost    string        // Nonce of the leader to which the link was lost; it isn't opened again before the row changes
 }
 
 // followOrLead finds the leader and follows it, and acquires leadership when the leader has failed.
@@ -73,10 +73,14 @@
 		n.dependencyBack("Table")
 		n.recordLeader(leader)
 		if row.Version != observed.version || observed.since == 0 {
-			observed = rowObservation{version: row.Version, since: n.clock.Now(), leaderSilent: observed.leaderSilent && observed.since == 0}
+			lost := ""
+			if observed.since == 0 {
+				lost = observed.lost
+			}
+			observed = rowObservation{version: row.Version, since: n.clock.Now(), lost: lost}
 		}
 		ownRow := leader.Name == n.settings.Name // a previous incarnation of this daemon led last
-		if row.Version != 0 && !ownRow && !observed.leaderSilent && leader.Name != "" {
+		if row.Version != 0 && !ownRow && observed.lost != leader.Nonce && leader.Name != "" {
 			linked, transfer := n.follow(ctx, leader)
 			if transfer != nil {
 				n.acquireAndLead(ctx, leader.Epoch, true)
@@ -84,7 +88,7 @@
 				continue
 			}
 			if linked {
-				observed = rowObservation{leaderSilent: true}
+				observed = rowObservation{lost: leader.Nonce}
 				continue
 			}
 		}
@@ -206,10 +210,13 @@
 	acquired := n.clock.Now()
 	termCtx, cancel := context.WithCancel(ctx)
 	t.ctx, t.cancel = termCtx, cancel
+	// Other daemons wait for a leader whose row changes; reading the journal may take longer than they wait for one
+	// whose row doesn't.
+	var wg sync.WaitGroup
+	wg.Go(t.commitLoop)
+	defer wg.Wait()
 	defer cancel()
-	stopHeartbeat := t.heartbeatWhileRecovering()
 	e, err := t.recoverCell()
-	stopHeartbeat()
 	if err != nil {
 		t.log.WithError(err).Error("RecoveryFailed")
 		return
@@ -219,25 +226,6 @@
 	t.lead(e)
 }
 
-// heartbeatWhileRecovering changes the leader row while this daemon reads the journal, which may take longer than
-// other daemons wait for a leader that seems to have failed. The clean-up ends it.
-func (t *term) heartbeatWhileRecovering() (stop func()) {
-	ctx, cancel := context.WithCancel(t.ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for t.n.sleep(ctx, heartbeatInterval) {
-			if err := t.commit(nil); err != nil {
-				t.log.WithError(err).Info("HeartbeatFailed")
-				return
-			}
-		}
-	})
-	return func() {
-		cancel()
-		wg.Wait()
-	}
-}
-
 // acquire writes this daemon into the leader row with the next epoch. It reports false when another daemon has
 // acquired leadership since the given epoch, or when acquireAttempts have failed.
 func (n *Node) acquire(ctx context.Context, epoch int64) (*term, bool) {
@@ -337,11 +325,10 @@
 	return e, nil
 }
 
-// lead runs the term until this daemon is deposed, gives up leadership or stops.
+// lead runs the term, whose commit loop is running, until this daemon is deposed, gives up leadership or stops.
 func (t *term) lead(e *ibiscell.Engine) {
 	var wg sync.WaitGroup
 	wg.Go(func() { t.run(e) })
-	wg.Go(t.commitLoop)
 	wg.Go(t.pollServers)
 	wg.Go(t.pollConfig)
 	t.n.recordLeader(t.row)
