ibisnode: orders to relays and their results wait 3 ms to share messages

Cause: a relay sent each result at once, and the leader handled as many messages as results. Change: what consists only of orders or results waits for more; everything else goes out at once, with what waits.

BenchmarkDecisions also covers advice.

--- a/ibiscell/bench_test.go
+++ b/ibiscell/bench_test.go
@@ -26,11 +26,16 @@
 	benchWaiting = 5000 // tasks that wait at any time
 )
 
-func newBenchCell(servers int) *benchCell {
+func newBenchCell(servers int, advice *ibisjob.Advice) *benchCell {
 	c := &benchCell{now: 1000, running: map[string][]ibiscell.RunName{}, targets: map[string]ibiscell.Target{}, ends: map[string]int64{}}
 	c.e = ibiscell.New(ibiscell.Settings{Epoch: 1}, quietLog)
 	c.e.SetUnixTime(c.now, c.now)
-	c.e.SetConfig(&ibisjob.Config{Version: 1, Queues: []ibisjob.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, SlackFactor: 2, ObjectiveMS: 1000}}})
+	c.e.SetConfig(&ibisjob.Config{Version: 1, Queues: []ibisjob.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, SlackFactor: 2, ObjectiveMS: 1000, Advice: advice}}})
+	var helpers []string
+	for n := range 100 {
+		helpers = append(helpers, fmt.Sprint("h", n))
+	}
+	c.e.SetHelpers(c.now, helpers)
 	var list []ibiscell.ServerInfo
 	for n := range servers {
 		id := fmt.Sprintf("s%04d", n)
@@ -70,40 +75,54 @@
 
 func (c *benchCell) execute() {
 	for _, cmd := range c.e.Commands() {
-		if s, ok := cmd.(ibiscell.Start); ok {
+		switch cmd := cmd.(type) {
+		case ibiscell.Start:
 			c.started++
 			c.waiting--
-			c.running[s.Target.ID] = append(c.running[s.Target.ID], s.Name)
-			c.e.Started(c.now, s.Target, s.Name, ibiscell.OrderDone)
+			c.running[cmd.Target.ID] = append(c.running[cmd.Target.ID], cmd.Name)
+			c.e.Started(c.now, cmd.Target, cmd.Name, ibiscell.OrderDone)
+		case ibiscell.Advise:
+			var approved []ibiscell.Ticket
+			for n, id := range cmd.Servers {
+				if (int(cmd.ID)+n)%2 == 0 {
+					approved = append(approved, ibiscell.Ticket{Server: id, Ticket: "t"})
+				}
+			}
+			c.e.AdviceReceived(c.now, cmd.ID, approved, 1500, true)
 		}
 	}
 }
 
-// BenchmarkDecisions measures the engine's time for each started task: acceptance, placement, journal, reports and
-// ends, with 5,000 tasks waiting.
+// BenchmarkDecisions measures the engine's time for each started task: acceptance, advice, placement, journal, reports
+// and ends, with 5,000 tasks waiting.
 func BenchmarkDecisions(b *testing.B) {
-	for _, servers := range []int{350, 1100, 8500} {
-		b.Run(fmt.Sprint(servers, "Servers"), func(b *testing.B) {
-			c := newBenchCell(servers)
-			var ids []string
-			for n := range servers {
-				ids = append(ids, fmt.Sprintf("s%04d", n))
-			}
-			c.round(ids)
-			for k := range 200 {
-				c.round(ids[k*servers/200 : (k+1)*servers/200])
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			before := c.started
-			k := 0
-			for b.Loop() { // each server ends its tasks in every 64th round
-				c.round(ids[k%64*servers/64 : (k%64+1)*servers/64])
-				k++
-			}
-			tasks := max(c.started-before, 1)
-			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(tasks), "µs/task")
-			b.ReportMetric(float64(tasks)/float64(k), "tasks/round")
-		})
+	for name, advice := range map[string]*ibisjob.Advice{"Plain": nil, "Advice": {DecisionMS: 9, PerServerMS: 0.13, ValidMS: 1500}} {
+		for _, servers := range []int{350, 1100, 8500} {
+			b.Run(fmt.Sprint(name, "/", servers, "Servers"), func(b *testing.B) { benchDecisions(b, servers, advice) })
+		}
+	}
+}
+
+func benchDecisions(b *testing.B, servers int, advice *ibisjob.Advice) {
+	c := newBenchCell(servers, advice)
+	var ids []string
+	for n := range servers {
+		ids = append(ids, fmt.Sprintf("s%04d", n))
+	}
+	const parts = 64 // each server ends its tasks in every 64th round
+	part := func(k int) []string { return ids[k%parts*servers/parts : (k%parts+1)*servers/parts] }
+	c.round(ids)
+	for k := range 2 * parts {
+		c.round(part(k))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	before, rounds := c.started, 0
+	for b.Loop() {
+		c.round(part(rounds))
+		rounds++
 	}
+	tasks := max(c.started-before, 1)
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(tasks), "µs/task")
+	b.ReportMetric(float64(tasks)/float64(rounds), "tasks/round")
 }
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -141,3 +141,9 @@
 		f.Transfer = o.Transfer
 	}
 }
+
+// onlyRelayed reports whether f contains nothing but orders to a relay, or their results.
+func (f *frame) onlyRelayed() bool {
+	return len(f.Orders)+len(f.Results) > 0 && len(f.Requests)+len(f.Replies)+len(f.Advise)+len(f.AdviceResults)+len(f.ScoutReports)+len(f.MemberChanges) == 0 &&
+		f.Hello == nil && f.Ping == nil && f.Pong == nil && f.Config == nil && f.Transfer == nil && f.Members == nil && f.Leader == nil && f.Scout == nil
+}
--- a/ibisnode/outbox.go
+++ b/ibisnode/outbox.go
@@ -1,10 +1,17 @@
 package ibisnode
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // maxQueuedFrames bounds the frames that wait for a link whose peer doesn't read; further ones are dropped.
 const maxQueuedFrames = 20_000
 
+// mergeDelay is how long orders to a relay and its results wait for others to be sent with them. A message costs more
+// processor time than what it carries.
+const mergeDelay = 3 * time.Millisecond
+
 // outbox queues frames for a link. Frames that are queued while a message is being sent are merged into the
 // next one.
 type outbox struct {
@@ -50,6 +57,9 @@
 // run sends queued frames until close is called or send fails.
 func (o *outbox) run(send func(*frame) error) {
 	for range o.wake {
+		if o.canWait() {
+			time.Sleep(mergeDelay)
+		}
 		o.mu.Lock()
 		f := o.queued
 		o.queued, o.frames = nil, 0
@@ -62,3 +72,10 @@
 		}
 	}
 }
+
+// canWait reports whether all that is queued can wait for mergeDelay.
+func (o *outbox) canWait() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queued != nil && !o.closed && o.queued.onlyRelayed()
+}
