--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -210,6 +210,7 @@
 	acquired := n.clock.Now()
 	termCtx, cancel := context.WithCancel(ctx)
 	t.ctx, t.cancel = termCtx, cancel
+	own := t.row // the commit loop changes it
 	// Other daemons wait for a leader whose row changes; reading the journal may take longer than they wait for one
 	// whose row doesn't.
 	var wg sync.WaitGroup
@@ -223,6 +224,7 @@
 	}
 	t.startedAt = t.n.clock.Now()
 	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired}).Info("LeadTaken")
+	n.recordLeader(own)
 	t.lead(e)
 }
 
@@ -331,7 +333,6 @@
 	wg.Go(func() { t.run(e) })
 	wg.Go(t.pollServers)
 	wg.Go(t.pollConfig)
-	t.n.recordLeader(t.row)
 	t.n.setTerm(t)
 	if cfg := t.n.Config(); cfg != nil {
 		t.configChanged(cfg) // it may have changed after the recovery read it
--- a/ibisnode/outbox.go
+++ b/ibisnode/outbox.go
@@ -20,9 +20,12 @@
 	frames int    // number of frames merged into queued
 	closed bool
 	wake   chan struct{} // notifies run
+	wait   func()        // waits for mergeDelay
 }
 
-func newOutbox() *outbox { return &outbox{wake: make(chan struct{}, 1)} }
+func newOutbox() *outbox {
+	return &outbox{wake: make(chan struct{}, 1), wait: func() { time.Sleep(mergeDelay) }}
+}
 
 // put queues f; it reports false, and drops f, when the link is closed or the outbox is full.
 func (o *outbox) put(f *frame) bool {
@@ -58,7 +61,7 @@
 func (o *outbox) run(send func(*frame) error) {
 	for range o.wake {
 		if o.canWait() {
-			time.Sleep(mergeDelay)
+			o.wait()
 		}
 		o.mu.Lock()
 		f := o.queued
