--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -73,35 +73,6 @@
 	return order
 }
 
-func TestUrgentCallsForAdviceGoFirst(t *testing.T) {
-	w := newWorld(t, 4)
-	w.run(20)
-	w.cfg.Queues[0].Advice = &ibisjob.Advice{DecisionMS: 5, PerServerMS: 0.1, ValidMS: 1500}
-	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
-	w.e.SetConfig(w.cfg)
-	for n := range 20 {
-		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "wide", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
-	}
-	w.run(60)
-	w.submit(99, ibisjob.Job{ID: jobID(99), Queue: "quick", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
-	order := adviceOrder(w, 200)
-	assert.Assert(t, len(order) > 0)
-	assert.Equal(t, order[0], string(jobID(99)))
-}
-
-func TestAllHelpersTakeLongCallsWhileThereAreNoShortOnes(t *testing.T) {
-	w := newWorld(t, 4)
-	w.run(20)
-	w.cfg.Queues[1].Advice = &ibisjob.Advice{DecisionMS: 400, PerServerMS: 1, ValidMS: 1500}
-	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
-	w.e.SetConfig(w.cfg)
-	for n := range 6 {
-		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "wide", Spec: "20", Steps: steps(ibisjob.Step{Tasks: 1, Size: size(100, 1)})})
-	}
-	order := adviceOrder(w, 100)
-	assert.Equal(t, len(order), 3, "each of the three helpers must get a call")
-}
-
 func TestGangIsRefusedByOneServerAndStartsAgainAsAWhole(t *testing.T) {
 	w := newWorld(t, 4)
 	w.run(20)
@@ -265,48 +236,6 @@
 	assert.Assert(t, calls <= 5, "%d calls for three rounds on two servers", calls)
 }
 
-// TestTicketsOutlastASlowTable places tasks with tickets on a full fleet while commits take a third of a ticket's
-// validity. A start whose ticket expires during the commit is refused by the server, and costs another call for
-// advice and another commit.
-func TestTicketsOutlastASlowTable(t *testing.T) {
-	w := newWorld(t, 8)
-	w.cfg.Queues[0].Advice = &ibisjob.Advice{DecisionMS: 9, PerServerMS: 0.13, ValidMS: 1500}
-	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues, Teams: w.cfg.Teams}
-	w.e.SetConfig(w.cfg)
-	w.tickets = true
-	w.run(20)
-	w.commitMS = 500
-	for n := range 60 {
-		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "quick", Team: fmt.Sprint("t", n), Spec: fmt.Sprint(100 + 97*n%800), Steps: steps(ibisjob.Step{Tasks: 9, Size: size(3900, 10), EstimateMS: 600})})
-		w.run(60)
-	}
-	w.run(40_000)
-	for n := range 60 {
-		assert.Equal(t, w.state(jobID(n)), ibisjob.Completed)
-	}
-	assert.Equal(t, w.badTickets, 0)
-	assert.Assert(t, len(w.starts) < 60*9*11/10, "%d starts of %d tasks", len(w.starts), 60*9)
-}
-
-// TestCommitLongerThanTickets makes one commit take longer than tickets are valid. The tasks that it assigns are started
-// with new tickets where they were assigned, without another commit before the start.
-func TestCommitLongerThanTickets(t *testing.T) {
-	w := newWorld(t, 8)
-	w.tickets = true
-	w.run(20)
-	w.commitMS = 2500
-	for n, gang := range []bool{false, true} {
-		w.submit(uint64(n), ibisjob.Job{ID: jobID(n), Queue: "wide", Spec: "400", Steps: steps(ibisjob.Step{Tasks: 12, Size: size(3900, 10), Gang: gang, EstimateMS: 400})})
-	}
-	w.run(2200)
-	w.commitMS = 12
-	w.run(3200)
-	w.commitMS = 100_000 // nothing is committed from here on
-	w.run(300)
-	assert.Equal(t, len(w.starts), 24)
-	assert.Equal(t, w.badTickets, 0)
-}
-
 func TestAdviceIsRequestedWhileJobIsCommitted(t *testing.T) {
 	w := newWorld(t, 4)
 	w.run(20)
--- /dev/null
+++ b/ibisnode/group_test.go
@@ -0,0 +1,416 @@
+package ibisnode_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisharness"
+	"ibiscrank/ibisjob"
+	"ibiscrank/ibisnode"
+	"ibiscrank/ibiswork"
+)
+
+// sharedTable is an in-memory table service, shared by all daemons of a test.
+type sharedTable struct {
+	mu           sync.Mutex
+	rows         map[string]ibisnode.Row
+	version      int64
+	loseReplies  bool          // apply commits, but lose every second reply
+	commitTime   time.Duration // of each commit; slow commits are applied one by one, and a read takes half as long
+	busyUntil    time.Time     // when all queued commits have been applied
+	oneWriteEach bool          // a daemon can't write again before another one has
+	lastWriter   *tableView
+	scanTime     time.Duration // of each scan
+	servers      []ibiscell.ServerInfo
+}
+
+// maxQueueTime is the time in the queue beyond which a slow table refuses commits.
+const maxQueueTime = time.Second
+
+func (t *sharedTable) setCommitTime(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commitTime = d
+}
+
+func (t *sharedTable) setOneWriteEach(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.oneWriteEach = on
+}
+
+func (t *sharedTable) currentCommitTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commitTime
+}
+
+// reserveCommit queues a slow commit and returns when it will be applied; it reports false when the queue is
+// too long.
+func (t *sharedTable) reserveCommit() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := max(time.Until(t.busyUntil), 0)
+	if wait > maxQueueTime {
+		return 0, false
+	}
+	t.busyUntil = time.Now().Add(wait + t.commitTime)
+	return wait + t.commitTime, true
+}
+
+// tableView is one daemon's access to the table; it can be made unavailable.
+type tableView struct {
+	*sharedTable
+	stateMu     sync.Mutex
+	unavailable bool
+
+	serverReads atomic.Int64 // calls of Servers
+}
+
+func (v *tableView) setUnavailable(unavailable bool) {
+	v.stateMu.Lock()
+	defer v.stateMu.Unlock()
+	v.unavailable = unavailable
+}
+
+func (v *tableView) check(ctx context.Context) error {
+	v.stateMu.Lock()
+	defer v.stateMu.Unlock()
+	if v.unavailable {
+		return ibisnode.Unavailable.New("table is set unavailable")
+	}
+	return ctx.Err()
+}
+
+func rowID(table, part, key string) string { return table + "/" + part + "/" + key }
+
+func (v *tableView) Commit(ctx context.Context, tx ibisnode.Tx) (int64, error) {
+	if err := v.check(ctx); err != nil {
+		return 0, err
+	}
+	v.mu.Lock()
+	refused := v.oneWriteEach && v.lastWriter == v
+	v.lastWriter = v
+	v.mu.Unlock()
+	if refused {
+		return 0, ibisnode.Unavailable.New("table takes no second write")
+	}
+	if v.currentCommitTime() == 0 {
+		return v.apply(tx)
+	}
+	wait, ok := v.reserveCommit()
+	if !ok {
+		return 0, ibisnode.Unavailable.New("too many commits are queued")
+	}
+	type result struct {
+		version int64
+		err     error
+	}
+	done := make(chan result, 1)
+	time.AfterFunc(wait, func() {
+		version, err := v.apply(tx)
+		done <- result{version, err}
+	})
+	select {
+	case r := <-done:
+		return r.version, r.err
+	case <-ctx.Done(): // it is applied later all the same
+		return 0, ibisnode.Unknown.Wrap(ctx.Err())
+	}
+}
+
+func (t *sharedTable) apply(tx ibisnode.Tx) (int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	leaderID := rowID(tx.Table, tx.Partition, tx.Key)
+	if t.rows[leaderID].Version != tx.Expected {
+		return 0, &ibisnode.ConflictError{Row: t.rows[leaderID]}
+	}
+	t.version++
+	t.rows[leaderID] = ibisnode.Row{Key: tx.Key, Value: tx.Value, Version: t.version}
+	for _, r := range tx.Puts {
+		t.rows[rowID(r.Table, tx.Partition, r.Key)] = ibisnode.Row{Key: r.Key, Value: r.Value, Version: t.version}
+	}
+	for _, r := range tx.Removes {
+		delete(t.rows, rowID(r.Table, tx.Partition, r.Key))
+	}
+	if t.loseReplies && t.version%2 == 0 {
+		return 0, ibisnode.Unknown.New("the reply was lost")
+	}
+	return t.version, nil
+}
+
+func (v *tableView) Get(ctx context.Context, table, part, key string) (ibisnode.Row, error) {
+	if err := v.check(ctx); err != nil {
+		return ibisnode.Row{}, err
+	}
+	time.Sleep(v.currentCommitTime() / 2)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.rows[rowID(table, part, key)], nil
+}
+
+func (v *tableView) Scan(ctx context.Context, table, part string) (rows []ibisnode.Row, _ error) {
+	if err := v.check(ctx); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	scanTime := v.scanTime
+	v.mu.Unlock()
+	time.Sleep(scanTime)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for k, r := range v.rows {
+		if strings.HasPrefix(k, rowID(table, part, "")) {
+			rows = append(rows, r)
+		}
+	}
+	return rows, nil
+}
+
+// Config and Servers implement ibisnode.Directory, available as long as the table is.
+func (v *tableView) Config(ctx context.Context) (*ibisjob.Config, error) {
+	if err := v.check(ctx); err != nil {
+		return nil, err
+	}
+	return &ibisjob.Config{
+		Version: 1, Queues: []ibisjob.Queue{{Name: "q", Host: "h", PathPrefix: "/", Service: "svc", SlackFactor: 2, ObjectiveMS: 1000, MaxAttempts: 2}},
+		Teams: []ibisjob.Team{{Name: "a", Keys: []string{"key"}, Weight: 100}},
+	}, nil
+}
+
+func (v *tableView) Servers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
+	if err := v.check(ctx); err != nil {
+		return nil, err
+	}
+	v.serverReads.Add(1)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.servers), nil
+}
+
+// fleet is the backend servers, by ID.
+type fleet map[string]*fakeServer
+
+func (f fleet) Start(ctx context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
+	return f[c.Target.ID].Start(ctx, c)
+}
+
+func (f fleet) Stop(ctx context.Context, c ibiscell.Stop) ibiscell.OrderOutcome {
+	return f[c.Target.ID].Stop(ctx, c)
+}
+
+func (f fleet) Renew(ctx context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	return f[c.Target.ID].Renew(ctx, c)
+}
+
+// fleetView is one daemon's access to the backend servers; it can be cut off.
+type fleetView struct {
+	fleet
+	calls atomic.Int64
+	cut   atomic.Bool
+}
+
+func (v *fleetView) Start(ctx context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
+	v.calls.Add(1)
+	if v.cut.Load() {
+		<-ctx.Done()
+		return ibiscell.OrderUnknown
+	}
+	return v.fleet.Start(ctx, c)
+}
+
+func (v *fleetView) Renew(ctx context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	v.calls.Add(1)
+	if v.cut.Load() {
+		<-ctx.Done()
+		return ibiscell.Report{}, ibiscell.OrderUnknown
+	}
+	return v.fleet.Renew(ctx, c)
+}
+
+// fakeServer is a backend server; it ends every run at once.
+type fakeServer struct {
+	mu     sync.Mutex
+	epoch  int64
+	ended  []ibiscell.RunEnd
+	starts map[string]int
+
+	renewals atomic.Int64
+}
+
+func (s *fakeServer) Start(_ context.Context, c ibiscell.Start) ibiscell.OrderOutcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Epoch < s.epoch {
+		return ibiscell.OrderFenced
+	}
+	if s.starts[c.Name.Task] == 0 {
+		s.ended = append(s.ended, ibiscell.RunEnd{N: int64(len(s.ended) + 1), Name: c.Name, Outcome: ibiscell.RunDone})
+	}
+	s.starts[c.Name.Task]++
+	return ibiscell.OrderDone
+}
+
+func (s *fakeServer) Stop(context.Context, ibiscell.Stop) ibiscell.OrderOutcome {
+	return ibiscell.OrderDone
+}
+
+func (s *fakeServer) Renew(_ context.Context, c ibiscell.Renew) (ibiscell.Report, ibiscell.OrderOutcome) {
+	s.renewals.Add(1)
+	time.Sleep(10 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Epoch < s.epoch {
+		return ibiscell.Report{}, ibiscell.OrderFenced
+	}
+	s.epoch = c.Epoch
+	return ibiscell.Report{Target: c.Target, ClockMS: time.Now().UnixMilli(), Ended: slices.Clone(s.ended[c.Acked:])}, ibiscell.OrderDone
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() int64    { return time.Now().UnixMilli() }
+func (systemClock) UnixMS() int64 { return time.Now().UnixMilli() }
+
+// events counts the log events of one daemon.
+type events struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (e *events) HandleLog(entry *log.Entry) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.n[entry.Message]++
+	return nil
+}
+
+func (e *events) count(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.n[name]
+}
+
+type member struct {
+	*ibisnode.Node
+	name   string
+	table  *tableView
+	link   *ibisharness.Link
+	events *events
+	fleet  *fleetView
+	stop   func()
+}
+
+func (m *member) leads() bool {
+	return m.events.count("LeadTaken") > m.events.count("LeadEnded")
+}
+
+type group struct {
+	t       *testing.T
+	table   *sharedTable
+	fleet   fleet
+	direct  int // setting DirectServers of the daemons
+	members []*member
+}
+
+// newGroup starts a daemon for each power, with one backend server.
+func newGroup(t *testing.T, powers ...float64) *group { return newGroupOf(t, 1, 0, powers...) }
+
+// newGroupOf starts a daemon for each power, with a number of backend servers, of which a leader calls direct ones
+// without relays.
+func newGroupOf(t *testing.T, servers, direct int, powers ...float64) *group {
+	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}}, fleet: fleet{}, direct: direct}
+	for n := range servers {
+		g.addServer(fmt.Sprint("s", n))
+	}
+	for _, p := range powers {
+		g.addMember(p)
+	}
+	g.awaitServing(g.members...)
+	return g
+}
+
+// addServer lists one more backend server, before the first daemon starts.
+func (g *group) addServer(id string) {
+	g.fleet[id] = &fakeServer{starts: map[string]int{}}
+	g.table.servers = append(g.table.servers, ibiscell.ServerInfo{
+		Target: ibiscell.Target{ID: id, Address: id, Incarnation: 1}, Service: "svc", Capacity: ibiswork.Resources{MilliCPU: 64_000, MemoryMB: 64_000},
+	})
+}
+
+// addMember starts one more daemon; the others reach it through a link that can fail.
+func (g *group) addMember(power float64) *member {
+	m := &member{name: fmt.Sprintf("n%d", len(g.members)), table: &tableView{sharedTable: g.table}, fleet: &fleetView{fleet: g.fleet}, events: &events{n: map[string]int{}}}
+	listen := ibisharness.FreeAddress(g.t)
+	m.link = ibisharness.NewLink(g.t, m.name, listen)
+	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct}, ibisnode.Ports{
+		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: metrics.NewRegistry(),
+		Log: &log.Logger{Handler: m.events, Level: log.InfoLevel},
+	})
+	stop, err := m.Start()
+	assert.NilError(g.t, err)
+	var once sync.Once
+	m.stop = func() { once.Do(stop) }
+	g.t.Cleanup(m.stop)
+	g.members = append(g.members, m)
+	return m
+}
+
+func (g *group) leader() *member {
+	for _, m := range g.members {
+		if m.leads() {
+			return m
+		}
+	}
+	return nil
+}
+
+// awaitServing waits until each of the daemons has had a submission accepted.
+func (g *group) awaitServing(members ...*member) {
+	g.t.Helper()
+	for _, m := range members {
+		ibisharness.Eventually(g.t, 15*time.Second, m.name+" serves", func() bool { return g.submit(m) == ibiscell.OK })
+	}
+}
+
+var nextJob struct {
+	sync.Mutex
+	n int
+}
+
+func (g *group) submit(m *member) ibiscell.Outcome {
+	nextJob.Lock()
+	nextJob.n++
+	job := ibisjob.Job{ID: ibisjob.ID(fmt.Sprintf("%016x", nextJob.n)), Queue: "q", Team: "a", Steps: []ibisjob.Step{{Tasks: 1, Size: ibiswork.Resources{MilliCPU: 10, MemoryMB: 1}}}}
+	nextJob.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return m.Call(ctx, ibisnode.Request{Kind: ibisnode.Submit, ID: job.ID, Job: &job}).Outcome
+}
+
+func (g *group) assertRanOnce() {
+	g.t.Helper()
+	total := map[string]int{}
+	for _, s := range g.fleet {
+		s.mu.Lock()
+		for task, n := range s.starts {
+			total[task] += n
+		}
+		s.mu.Unlock()
+	}
+	for task, n := range total {
+		assert.Equal(g.t, n, 1, "%s was started %d times", task, n)
+	}
+}
