--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -49,6 +49,7 @@
 	Scout         *scoutOrder         `cbor:"14,keyasint,omitempty"`
 	ScoutReports  []scoutReport       `cbor:"15,keyasint,omitempty"`
 	MemberChanges []memberChange      `cbor:"16,keyasint,omitempty"` // since Members, in order
+	Recovering    bool                `cbor:"17,keyasint,omitempty"` // the sender has acquired leadership and reads the journal
 }
 
 // hello opens a link.
@@ -119,6 +120,7 @@
 	if o.Hello != nil {
 		f.Hello = o.Hello
 	}
+	f.Recovering = f.Recovering || o.Recovering
 	if o.Scout != nil {
 		f.Scout = o.Scout
 	}
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -39,7 +39,9 @@
 	getTimeout        = 1500 * time.Millisecond
 	scanTimeout       = 4 * time.Second
 	acquireAttempts   = 6
-	maxPeersAsked     = 3 // daemons that are asked for the leader in one round
+	// recoveringPause is the time between attempts to link to a leader that reads the journal.
+	recoveringPause = 400 * time.Millisecond
+	maxPeersAsked   = 3 // daemons that are asked for the leader in one round
 )
 
 // leaderRow is the row of the table that names the leader of the cell. After a leader has stepped down, Name
@@ -92,12 +94,18 @@
 				continue
 			}
 		}
+		if n.recoveringSeenAt != 0 && n.clock.Now()-n.recoveringSeenAt < recoveringPause.Milliseconds() {
+			// Its row changes too late if the journal fills its link. Another leader would read the same journal.
+			observed.since = n.clock.Now()
+			n.sleep(ctx, recoveringPause)
+			continue
+		}
 		// A leader that may still be running gets leaderTimeout; if there is none, only the other candidates
 		// are waited for.
 		wait := leaderTimeout + n.candidacyDelay(leader.Name)
 		if row.Version == 0 && n.settings.FirstRun || ownRow || leader.Name == "" {
 			wait = n.candidacyDelay(leader.Name)
-			if leader.Name == "" && n.clock.Now()-n.steppedDownAt < steppedDownPause.Milliseconds() {
+			if (leader.Name == "" || ownRow) && n.steppedDownAt != 0 && n.clock.Now()-n.steppedDownAt < steppedDownPause.Milliseconds() {
 				wait += steppedDownPause
 			}
 		}
@@ -217,9 +225,12 @@
 	wg.Go(t.commitLoop)
 	defer wg.Wait()
 	defer cancel()
+	n.recovering.Store(true)
 	e, err := t.recoverCell()
+	n.recovering.Store(false)
 	if err != nil {
 		t.log.WithError(err).Error("RecoveryFailed")
+		n.steppedDownAt = n.clock.Now() // others may be able to read the journal
 		return
 	}
 	t.startedAt = t.n.clock.Now()
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -55,7 +55,11 @@
 	}
 	t := n.currentTerm()
 	if f.Hello == nil || t == nil || f.Hello.Epoch > t.row.Epoch {
-		if known := n.knownLeader(); known.Epoch > 0 {
+		if n.recovering.Load() {
+			if err := s.Send(&frame{Recovering: true}); err != nil {
+				return err
+			}
+		} else if known := n.knownLeader(); known.Epoch > 0 {
 			if err := s.Send(&frame{Leader: &known}); err != nil {
 				return err
 			}
@@ -258,6 +262,10 @@
 			n.log.WithFields(log.Fields{"Leader": leader.Name, "Linked": linked}).WithError(err).Warn("LeaderLost")
 			return linked, nil
 		case m := <-frames:
+			if m.Recovering {
+				n.recoveringSeenAt = n.clock.Now()
+				return linked, nil
+			}
 			if m.Leader != nil {
 				n.recordLeader(*m.Leader)
 				return linked, nil
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -95,8 +95,12 @@
 	latestLeader      leaderRow         // the leader with the highest known epoch
 	leaderChanges     []ibiscell.Time   // when latestLeader has changed within replaceWindow
 
-	steppedDownAt ibiscell.Time // when this daemon last gave up leadership; owned by followOrLead
-	slowReadAt    atomic.Int64  // when a read of the table was last slow, on the node's clock; 0: never
+	// Owned by followOrLead.
+	steppedDownAt    ibiscell.Time // when this daemon last gave up leadership
+	recoveringSeenAt ibiscell.Time // when a leader last said that it reads the journal; 0: never
+
+	recovering atomic.Bool  // this daemon has acquired leadership and reads the journal
+	slowReadAt atomic.Int64 // when a read of the table was last slow, on the node's clock; 0: never
 }
 
 // New makes a daemon that does nothing before Start.
--- a/ibisnode/node_test.go
+++ b/ibisnode/node_test.go
@@ -150,6 +150,30 @@
 	g.assertRanOnce()
 }
 
+// TestLeaderIsNotReplacedWhileItSaysThatItRecovers does the same while the new leader can't change its row, since the
+// journal fills its link.
+func TestLeaderIsNotReplacedWhileItSaysThatItRecovers(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1)
+	g.table.setOneWriteEach(true)
+	g.table.mu.Lock()
+	g.table.scanTime = 2500 * time.Millisecond
+	g.table.mu.Unlock()
+	old := g.leader()
+	old.stop()
+	g.members = g.others(old)
+	count := func(event string) (n int) {
+		for _, m := range g.members {
+			n += m.events.count(event)
+		}
+		return n
+	}
+	ibisharness.Eventually(t, 20*time.Second, "another leads", func() bool { return count("LeadTaken") > 0 })
+	assert.Equal(t, count("Deposed")+count("RecoveryFailed"), 0)
+	g.table.setOneWriteEach(false)
+	g.awaitServing(g.members...)
+	g.assertRanOnce()
+}
+
 // TestReplacementThatDoesNotHelpIsNotRepeatedAtOnce lets each daemon acquire leadership but write nothing after that, as
 // on links that the traffic of a new leader fills. Replacing one leader after the other makes it worse.
 func TestReplacementThatDoesNotHelpIsNotRepeatedAtOnce(t *testing.T) {
