--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -10,6 +10,9 @@
 // A run is one attempt to run a task of a job (see package ibisjob) on a backend server. The server ends its
 // runs when the lease that the leader granted it expires.
 //
+// The journal is a log: each batch holds what has changed since the one before, and rows go when no job that has not
+// ended depends on them.
+//
 // A queue may require advice: the platform's advice service then decides which backend servers may run a
 // step, and issues a ticket for each approved one. A start order must carry a ticket that has not expired.
 // The service handles one call at a time from each VM, so the calls are made by helpers: the daemons of the
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -2,6 +2,9 @@
 // without disks. Every daemon accepts callers' requests, one of them leads the cell, and any other can
 // replace it. Package platform runs it and implements its ports.
 //
+// With many backend servers, the leader has other daemons make its calls to them (relays) and read the list of
+// servers and the configuration (a scout). Neither decides anything.
+//
 // All durable state is in the platform's table. The leader row is in the same partition as the cell's journal
 // and every commit is conditional on it, so that a stale leader can't write anything. The epoch in the row is
 // the fencing token of all orders to backend servers. Safety rests on the table alone: the links between
