ibisnode: log what fills a follower's link, and how often configurations are sent

LeaderLost says how many KiB have arrived on the link, and in the bodies of all other calls, since the last pong: a silent leader and a full link look alike otherwise. LinksChanged counts, once a second, links opened and closed and the configurations sent, among them those to daemons that had that version. No logic changes.

--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -28,6 +28,7 @@
 
 	draining    atomic.Bool // the other daemon is being stopped
 	toldMembers bool        // the other daemon has been sent the list of members; guarded by term.mu
+	logged      bool        // its opening was logged, so that its end is too
 
 	// Owned by the engine's goroutine.
 	targets      map[ibiscell.Target]int // index of each server named to the relay
@@ -73,6 +74,7 @@
 	go l.out.run(s.Send)
 	if cfg := n.Config(); cfg != nil {
 		l.out.put(&frame{Config: cfg})
+		t.countConfig(f.Ping != nil && f.Ping.Version >= cfg.Version)
 	}
 	recvErr := make(chan error, 1)
 	go func() {
@@ -97,18 +99,30 @@
 	t.mu.Lock()
 	t.links[l] = true
 	delete(t.unreached, l.Name)
+	t.changes.opened++
+	now := t.n.clock.Now()
+	logged := now-t.openLoggedAt[l.Name] >= linkLogInterval.Milliseconds()
+	if logged {
+		t.openLoggedAt[l.Name] = now
+	}
+	l.logged = logged
 	t.mu.Unlock()
-	t.log.WithField("Peer", l.Name).Info("LinkOpened")
+	if logged {
+		t.log.WithField("Peer", l.Name).Info("LinkOpened")
+	}
 	t.updateHelpers()
 }
 
 func (t *term) removeLink(l *link) {
 	t.mu.Lock()
 	delete(t.links, l)
+	t.changes.closed++
 	t.mu.Unlock()
 	l.out.close()
 	t.expireOrders(l, math.MaxInt64)
-	t.log.WithField("Peer", l.Name).Info("LinkClosed")
+	if l.logged {
+		t.log.WithField("Peer", l.Name).Info("LinkClosed")
+	}
 	if t.ctx.Err() == nil {
 		go t.probeMember(l.member)
 	}
@@ -181,6 +195,10 @@
 	pongAt   ibiscell.Time // arrival of lastPong
 	lastPong pong
 
+	received     func() int64 // bytes that have arrived on the link
+	linkAtPong   int64        // value of received at pongAt
+	bodiesAtPong int64        // bytes of the bodies of all other calls at pongAt
+
 	// Owned by follow.
 	targets   []ibiscell.Target // named by the leader's orders
 	stopScout context.CancelFunc
@@ -226,6 +244,7 @@
 	}
 	defer closeLink()
 	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), running: make(map[int][]runningRecord), pongAt: n.clock.Now()}
+	f.received, f.bodiesAtPong = s.Received, n.bodiesReceived()
 	f.lastPong.At = f.pongAt // until the first pong, the leader counts as healthy, with a commit just now
 	f.out.put(&frame{Hello: &hello{Member: n.member(), Epoch: leader.Epoch}, Ping: f.newPing()})
 	frames, recvErr := make(chan *frame), make(chan error, 1)
@@ -281,7 +300,7 @@
 			}
 		case <-tick.C:
 			if age := n.clock.Now() - f.pongAt; age > pongTimeout.Milliseconds() {
-				n.log.WithFields(log.Fields{"Leader": leader.Name, "SilentMS": age}).Warn("LeaderLost")
+				n.log.WithFields(log.Fields{"Leader": leader.Name, "SilentMS": age, "LinkKB": (f.received() - f.linkAtPong) >> 10, "BodiesKB": (n.bodiesReceived() - f.bodiesAtPong) >> 10}).Warn("LeaderLost")
 				return linked, nil
 			}
 			f.out.put(&frame{Ping: f.newPing()})
@@ -330,6 +349,7 @@
 	if p := m.Pong; p != nil {
 		f.mu.Lock()
 		f.pongAt, f.lastPong = f.n.clock.Now(), *p
+		f.linkAtPong, f.bodiesAtPong = f.received(), f.n.bodiesReceived()
 		f.mu.Unlock()
 		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS)
 	}
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -69,6 +69,8 @@
 	knownMembers   map[string]member      // as last sent, by name
 	pending        map[uint64]func(Reply) // requests without an answer, by their ID in the engine
 	lastRequestID  uint64
+	changes        linkChanges              // since the last report
+	openLoggedAt   map[string]ibiscell.Time // of the last LinkOpened, by daemon
 }
 
 // enqueue queues fn for the engine's goroutine; it reports false when the term is over.
@@ -206,6 +208,7 @@
 		"UsedMilliCPU": l.Used.MilliCPU, "CapacityMilliCPU": l.Capacity.MilliCPU, "Links": links, "Asks": l.QueuedAdviceCalls, "IdleHelpers": l.IdleHelpers, "BacklogMS": l.BacklogMS,
 	}).Info("CellLoad")
 	t.reportTraffic()
+	t.reportLinks()
 	if t.loadReports++; t.loadReports%transferCheckReports == 0 {
 		t.transferLeadership(t.n.settings.Power / weakPowerRatio)
 	}
@@ -468,6 +471,7 @@
 	defer t.mu.Unlock()
 	for l := range t.links {
 		l.out.put(&frame{Config: cfg})
+		t.changes.configs++
 	}
 }
 
--- a/ibisnode/traffic.go
+++ b/ibisnode/traffic.go
@@ -2,13 +2,61 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 )
 
-// bytesPrefix begins the names of all counters of bytes.
-const bytesPrefix = "Bytes"
+// linkLogInterval is how long after the line about a daemon's link further links of that daemon are only counted. A
+// daemon that loses its leader again and again would displace all other lines.
+const linkLogInterval = 10 * time.Second
+
+// linkChanges counts what has happened to links since the last report.
+type linkChanges struct {
+	opened, closed int
+	configs        int // configurations sent
+	configsKnown   int // of these, to daemons that had that version or a newer one
+}
+
+// countConfig counts a configuration that is sent to a linked daemon; known says that the daemon has it already.
+func (t *term) countConfig(known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changes.configs++
+	if known {
+		t.changes.configsKnown++
+	}
+}
+
+// reportLinks logs what has happened to links since the last report.
+func (t *term) reportLinks() {
+	t.mu.Lock()
+	c := t.changes
+	t.changes = linkChanges{}
+	t.mu.Unlock()
+	if c == (linkChanges{}) {
+		return
+	}
+	t.log.WithFields(log.Fields{"Opened": c.opened, "Closed": c.closed, "Configs": c.configs, "ConfigsKnown": c.configsKnown}).Info("LinksChanged")
+}
+
+// Names of counters of bytes.
+const (
+	bytesPrefix   = "Bytes"       // begins all of them
+	bytesInPrefix = "BytesIn"     // begins those of received bytes
+	bytesInLink   = "BytesInLink" // messages of links
+)
+
+// bodiesReceived returns the bytes that this VM has received in the replies to calls, messages of links left out.
+func (n *Node) bodiesReceived() (total int64) {
+	n.registry.Each(func(name string, m any) {
+		if c, ok := m.(metrics.Counter); ok && strings.HasPrefix(name, bytesInPrefix) && name != bytesInLink {
+			total += c.Count()
+		}
+	})
+	return total
+}
 
 // reportTraffic logs how many KiB of each kind of call this VM has sent and received since the last report.
 func (t *term) reportTraffic() {
--- a/ibisrpc/stream.go
+++ b/ibisrpc/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,6 +23,28 @@
 		SendMsg(any) error
 		RecvMsg(any) error
 	}
+	received *atomic.Int64 // nil at the end that has accepted the link
+}
+
+// Received returns the number of bytes that have arrived on the connection of a link that this daemon has opened, those
+// of messages that are not complete included.
+func (s Stream[M]) Received() int64 {
+	if s.received == nil {
+		return 0
+	}
+	return s.received.Load()
+}
+
+// countingConn counts the bytes that it reads.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // Send sends m; it blocks under flow control while the peer does not read.
@@ -41,7 +65,7 @@
 	srv := grpc.NewServer(grpc.StatsHandler(newLinkMeter(r)), grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
 	srv.RegisterService(&grpc.ServiceDesc{ServiceName: linkService, HandlerType: (*any)(nil), Streams: []grpc.StreamDesc{{
 		StreamName: "Open", ServerStreams: true, ClientStreams: true,
-		Handler: func(_ any, s grpc.ServerStream) error { return serve(s.Context(), Stream[M]{s}) },
+		Handler: func(_ any, s grpc.ServerStream) error { return serve(s.Context(), Stream[M]{s: s}) },
 	}}}, struct{}{})
 	return srv
 }
@@ -50,7 +74,16 @@
 // class Unknown; an address that cannot be parsed gives one of class Error. The second result closes the stream
 // and its connection. Messages and bytes are counted in r.
 func OpenLink[M any](ctx context.Context, r metrics.Registry, address string, timeout time.Duration) (Stream[M], func(), error) {
+	received := new(atomic.Int64)
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{c, received}, nil
+	}
 	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithContextDialer(dial),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(newLinkMeter(r)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: timeout}),
@@ -67,5 +100,5 @@
 		closeLink()
 		return Stream[M]{}, nil, Unknown.New("open link to %s: %v", address, err)
 	}
-	return Stream[M]{s}, closeLink, nil
+	return Stream[M]{s, received}, closeLink, nil
 }
