--- a/ibisharness/link.go
+++ b/ibisharness/link.go
@@ -132,6 +132,9 @@
 // Delay delays all data by ms milliseconds in each direction until Restore.
 func (l *Link) Delay(ms int) { l.addToxic("latency", fmt.Sprintf(`"latency":%d`, ms)) }
 
+// Limit limits each direction of each connection to a number of kilobytes a second. It applies to new ones until Restore.
+func (l *Link) Limit(kbPerS int) { l.addToxic("bandwidth", fmt.Sprintf(`"rate":%d`, kbPerS)) }
+
 // Cut closes all connections and, until Restore, every new one as soon as it is accepted.
 func (l *Link) Cut() {
 	l.mu.Lock()
--- /dev/null
+++ b/ibisnode/config_test.go
@@ -0,0 +1,66 @@
+package ibisnode_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisharness"
+)
+
+// configApplyTime is how long a change of the configuration may take to apply at a daemon that reaches its leader.
+const configApplyTime = 3 * time.Second
+
+// awaitConfig waits until each of the daemons has applied a version of the configuration.
+func (g *group) awaitConfig(version int64, members ...*member) {
+	g.t.Helper()
+	for _, m := range members {
+		ibisharness.Eventually(g.t, configApplyTime, m.name+" applies the configuration", func() bool { return m.Config().Version >= version })
+	}
+}
+
+// count returns how often the daemons have logged an event.
+func (g *group) count(event string) (total int) {
+	for _, m := range g.members {
+		total += m.events.count(event)
+	}
+	return total
+}
+
+// Guards against daemons that never keep a link because the configuration takes longer to arrive than they wait for a
+// pong: accepted jobs could not be asked about any more.
+func TestLargeConfigurationDoesNotBreakSlowLinks(t *testing.T) {
+	g := newGroup(t, 1, 0.2, 0.2, 0.2, 0.2)
+	g.leader().link.Limit(1000)
+	before := g.count("LeaderLost")
+	g.table.setConfig(newConfig(2, 6000)) // about 1.2 MB on a link
+	g.awaitConfig(2, g.members...)
+	unserved := 0
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+		for _, m := range g.members {
+			if g.submit(m) != ibiscell.OK {
+				unserved++
+			}
+		}
+	}
+	lost := g.count("LeaderLost") - before
+	assert.Assert(t, lost == 0 && unserved == 0, "the leader was lost %d times, %d submissions were not accepted", lost, unserved)
+	g.assertRanOnce()
+}
+
+// Guards against daemons that never get a configuration that takes longer to arrive than they wait for a pong, when
+// they can't read it from the table either.
+func TestLargeConfigurationReachesDaemonsWithoutTheTable(t *testing.T) {
+	g := newGroup(t, 1, 0.2, 0.2)
+	leader := g.leader()
+	leader.link.Limit(1000)
+	for _, m := range g.others(leader) {
+		m.table.setUnavailable(true)
+	}
+	g.table.setConfig(newConfig(2, 6000))
+	g.awaitConfig(2, g.members...)
+	g.submitMany(10)
+	g.assertRanOnce()
+}
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -33,6 +33,26 @@
 	lastWriter   *tableView
 	scanTime     time.Duration // of each scan
 	servers      []ibiscell.ServerInfo
+	cfg          *ibisjob.Config
+}
+
+// newConfig returns a configuration with one team and a number of queues, of which jobs use the first.
+func newConfig(version int64, queues int) *ibisjob.Config {
+	cfg := &ibisjob.Config{Version: version, Teams: []ibisjob.Team{{Name: "a", Keys: []string{"key"}, Weight: 100}}}
+	for n := range queues {
+		q := ibisjob.Queue{Name: "q", Host: "h", PathPrefix: "/", Service: "svc", SlackFactor: 2, ObjectiveMS: 1000, MaxAttempts: 2}
+		if n > 0 {
+			q.Name, q.Host, q.PathPrefix = fmt.Sprintf("queue-%07d", n), fmt.Sprintf("host-%07d.example", n), fmt.Sprintf("/path-%07d/", n)
+		}
+		cfg.Queues = append(cfg.Queues, q)
+	}
+	return cfg
+}
+
+func (t *sharedTable) setConfig(cfg *ibisjob.Config) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cfg = cfg
 }
 
 // maxQueueTime is the time in the queue beyond which a slow table refuses commits.
@@ -184,10 +204,9 @@
 	if err := v.check(ctx); err != nil {
 		return nil, err
 	}
-	return &ibisjob.Config{
-		Version: 1, Queues: []ibisjob.Queue{{Name: "q", Host: "h", PathPrefix: "/", Service: "svc", SlackFactor: 2, ObjectiveMS: 1000, MaxAttempts: 2}},
-		Teams: []ibisjob.Team{{Name: "a", Keys: []string{"key"}, Weight: 100}},
-	}, nil
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cfg, nil
 }
 
 func (v *tableView) Servers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
@@ -331,7 +350,7 @@
 // newGroupOf starts a daemon for each power, with a number of backend servers, of which a leader calls direct ones
 // without relays.
 func newGroupOf(t *testing.T, servers, direct int, powers ...float64) *group {
-	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}}, fleet: fleet{}, direct: direct}
+	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}, cfg: newConfig(1, 1)}, fleet: fleet{}, direct: direct}
 	for n := range servers {
 		g.addServer(fmt.Sprint("s", n))
 	}
