ibisnode: send daemons only the configuration that they lack, in parts between other frames

Cause: the leader put the whole configuration before all else on each new link, whether or not the daemon had it. Once it took longer to arrive than a follower waits for a pong (700 ms), the follower dropped the link, opened another one and was sent the configuration again. No daemon on 10 Mbit/s had a leader any more, from second 64 to the end.

Ruled out: lost rows (answers are 503, not 410), leaders that replace each other (one leader from second 77 on).

Change: the leader sends the change from the version that a daemon names in its pings, if it remembers that version (four are kept), else the whole; nothing if it is current. Changes go in parts of 16 KiB, one at a time on each link and eight at once in all, each acknowledged, so that a pong waits for eight parts at the most. A scout names the version that it has read instead of sending it over its link; the leader reads it. A daemon that parts arrive at doesn't read the configuration for itself.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -191,6 +191,7 @@
 		n.mu.Unlock()
 		return
 	}
+	n.rememberConfig(n.cfg)
 	n.cfg = cfg
 	n.keys = make(map[string]string)
 	for _, t := range cfg.Teams {
@@ -233,7 +234,7 @@
 		if n.currentTerm() != nil {
 			continue
 		}
-		if confirmedAt, _ := n.configStatus(); n.clock.Now()-confirmedAt > directReadAfter.Milliseconds() {
+		if confirmedAt, _ := n.configStatus(); n.clock.Now()-confirmedAt > directReadAfter.Milliseconds() && !n.configArriving(n.clock.Now()) {
 			n.readConfig(ctx)
 		}
 	}
--- a/ibisnode/config_test.go
+++ b/ibisnode/config_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"ibiscrank/ibiscell"
@@ -50,6 +51,34 @@
 	g.assertRanOnce()
 }
 
+// configBytes returns the number of bytes of the configuration that the daemons have sent each other.
+func (g *group) configBytes() (total int64) {
+	for _, m := range g.members {
+		total += metrics.GetOrRegisterCounter("BytesOutConfig", m.registry).Count()
+	}
+	return total
+}
+
+// Guards against a leader that fills its link with a configuration that the others have, or have nearly all of.
+func TestConfigurationIsNotSentAgain(t *testing.T) {
+	g := newGroup(t, 1, 1, 0.2, 0.2, 0.2)
+	g.table.setConfig(newConfig(2, 6000))
+	g.awaitConfig(2, g.members...)
+	old, sent := g.leader(), g.configBytes()
+	old.link.Cut()
+	old.link.Restore()
+	g.awaitServing(g.members...)
+	assert.Equal(t, g.configBytes(), sent, "sent again on new links")
+	old.stop()
+	g.members = g.others(old)
+	sent = g.configBytes()
+	g.awaitServing(g.members...)
+	assert.Equal(t, g.configBytes(), sent, "sent again by the next leader")
+	g.table.setConfig(newConfig(3, 6001))
+	g.awaitConfig(3, g.members...)
+	assert.Assert(t, g.configBytes()-sent < 2000, "%d bytes were sent for one more queue", g.configBytes()-sent)
+}
+
 // Guards against daemons that never get a configuration that takes longer to arrive than they wait for a pong, when
 // they can't read it from the table either.
 func TestLargeConfigurationReachesDaemonsWithoutTheTable(t *testing.T) {
--- /dev/null
+++ b/ibisnode/configlink.go
@@ -0,0 +1,238 @@
+package ibisnode
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+	"ibiscrank/ibisrpc"
+)
+
+// The leader sends a linked daemon the configuration only if that one's is older, as the change from it if it knows that
+// version. A large change goes in parts between the other frames: a pong that waited for all of it would come too late,
+// the daemon would open another link, and would be sent all of it again.
+
+const (
+	// configPartBytes is the size of a part: 13 ms of a link of 10 Mbit/s.
+	configPartBytes = 16 << 10
+	// maxConfigParts is the number of parts that are on their way at once, over all links: half a second of a leader's
+	// link of 2 Mbit/s, which is less than pongTimeout.
+	maxConfigParts = 8
+	// configPartTimeout is how long a part without an acknowledgement keeps others back.
+	configPartTimeout = 700 * time.Millisecond
+	// configHistory is the number of earlier versions from which changes can be computed.
+	configHistory = 4
+)
+
+// configPart is a part of an encoded ibisjob.ConfigChange.
+type configPart struct {
+	Version int64  `cbor:"1,keyasint"` // that the change leads to
+	Offset  int    `cbor:"2,keyasint,omitempty"`
+	Size    int    `cbor:"3,keyasint"` // of the whole change, in bytes
+	Data    []byte `cbor:"4,keyasint"`
+}
+
+// configAck acknowledges a part.
+type configAck struct {
+	Version int64 `cbor:"1,keyasint"` // of the part
+	Offset  int   `cbor:"2,keyasint,omitempty"`
+	Own     int64 `cbor:"3,keyasint,omitempty"` // version of the configuration that the daemon has now
+	Refused bool  `cbor:"4,keyasint,omitempty"` // the daemon can't use the change
+}
+
+// changeEncoder encodes the changes that lead to one version, each of them once.
+type changeEncoder struct {
+	mu      sync.Mutex
+	version int64
+	changes map[int64][]byte // by version that they apply to
+}
+
+// encode returns the encoded change from base, which may be nil, to cfg.
+func (e *changeEncoder) encode(cfg, base *ibisjob.Config) ([]byte, error) {
+	var from int64
+	if base != nil {
+		from = base.Version
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version != cfg.Version {
+		e.version, e.changes = cfg.Version, make(map[int64][]byte)
+	}
+	if b, ok := e.changes[from]; ok {
+		return b, nil
+	}
+	b, err := cbor.Marshal(cfg.ChangeSince(base))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	e.changes[from] = b
+	return b, nil
+}
+
+// earlierConfig returns an earlier version of the configuration, or nil if this daemon doesn't have it any more.
+func (n *Node) earlierConfig(version int64) *ibisjob.Config {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, cfg := range n.earlierConfigs {
+		if cfg.Version == version {
+			return cfg
+		}
+	}
+	return nil
+}
+
+// rememberConfig keeps a configuration that is about to be replaced. The caller holds n.mu.
+func (n *Node) rememberConfig(cfg *ibisjob.Config) {
+	if cfg == nil {
+		return
+	}
+	if len(n.earlierConfigs) >= configHistory {
+		n.earlierConfigs = slices.Delete(n.earlierConfigs, 0, 1)
+	}
+	n.earlierConfigs = append(n.earlierConfigs, cfg)
+}
+
+// recordPeerConfig records the version of the configuration of a linked daemon, which never goes back.
+func (l *link) recordPeerConfig(version int64) {
+	for {
+		known := l.configVersion.Load()
+		if version <= known || l.configVersion.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
+// offerConfig begins to send the configuration to a linked daemon whose own is older, unless it is being sent.
+func (t *term) offerConfig(l *link) {
+	cfg := t.n.Config()
+	if cfg == nil || l.configVersion.Load() >= cfg.Version || !l.sendingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		t.sendConfig(l, cfg)
+		l.sendingConfig.Store(false)
+		if l.configVersion.Load() >= cfg.Version {
+			t.offerConfig(l) // a newer one may have come meanwhile
+		}
+	}()
+}
+
+// sendConfig sends cfg to a linked daemon until it has it or the link is closed. A daemon that can't use what it is sent
+// gets it again after its next ping.
+func (t *term) sendConfig(l *link, cfg *ibisjob.Config) {
+	known := l.configVersion.Load()
+	b, err := t.changesToConfig.encode(cfg, t.n.earlierConfig(known))
+	if err != nil {
+		t.log.WithField("Version", cfg.Version).WithError(err).Error("ConfigEncoding")
+		return
+	}
+	t.countConfig(len(b))
+	select {
+	case <-l.configAcks: // of a change that the daemon has got from the table before it was complete
+	default:
+	}
+	for offset := 0; offset < len(b) && l.configVersion.Load() < cfg.Version; offset += configPartBytes {
+		part := configPart{Version: cfg.Version, Offset: offset, Size: len(b), Data: b[offset:min(offset+configPartBytes, len(b))]}
+		if !t.sendConfigPart(l, part) {
+			return
+		}
+	}
+}
+
+// sendConfigPart sends a part and waits for its acknowledgement. It reports false when the daemon can't use the change,
+// or the link is closed.
+func (t *term) sendConfigPart(l *link, part configPart) bool {
+	select {
+	case t.configParts <- struct{}{}:
+	case <-l.done:
+		return false
+	}
+	release := sync.OnceFunc(func() { <-t.configParts })
+	defer release()
+	if !l.out.put(&frame{ConfigParts: []configPart{part}}) {
+		return false
+	}
+	metrics.GetOrRegisterCounter("BytesOutConfig", t.n.registry).Inc(int64(len(part.Data)))
+	timer := time.AfterFunc(configPartTimeout, release)
+	defer timer.Stop()
+	for {
+		select {
+		case ack := <-l.configAcks:
+			if ack.Version == part.Version && ack.Offset == part.Offset {
+				return !ack.Refused
+			}
+		case <-l.done:
+			return false
+		}
+	}
+}
+
+// handleConfigAck handles the acknowledgement of a part by a linked daemon.
+func (l *link) handleConfigAck(a configAck) {
+	l.recordPeerConfig(a.Own)
+	select {
+	case l.configAcks <- a:
+	default: // nothing waits for it
+	}
+}
+
+// arrivingConfig is a change of the configuration of which not all parts have arrived.
+type arrivingConfig struct {
+	version int64
+	data    []byte
+}
+
+// handleConfigPart adds a part of a change, and applies the change when it is complete.
+func (f *follower) handleConfigPart(p *configPart) {
+	f.n.configPartAt.Store(f.n.clock.Now())
+	err := f.addConfigPart(p)
+	if err != nil {
+		f.arriving = arrivingConfig{}
+		f.n.log.WithField("Version", p.Version).WithError(err).Warn("ConfigPartDropped")
+	}
+	_, own := f.n.configStatus()
+	f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
+}
+
+func (f *follower) addConfigPart(p *configPart) error {
+	if p.Offset == 0 {
+		f.arriving = arrivingConfig{version: p.Version}
+	}
+	a := &f.arriving
+	if p.Size > ibisrpc.MaxMessageBytes || p.Version != a.version || p.Offset != len(a.data) || p.Offset+len(p.Data) > p.Size {
+		return Error.New("%d bytes at %d of %d don't follow the %d bytes of version %d", len(p.Data), p.Offset, p.Size, len(a.data), a.version)
+	}
+	a.data = append(a.data, p.Data...)
+	if len(a.data) < p.Size {
+		return nil
+	}
+	var change ibisjob.ConfigChange
+	if err := cbor.Unmarshal(a.data, &change); err != nil {
+		return Error.New("decode the change of the configuration: %w", err)
+	}
+	f.arriving = arrivingConfig{}
+	own := f.n.Config()
+	if own == nil {
+		own = new(ibisjob.Config)
+	}
+	if own.Version >= change.Version {
+		return nil
+	}
+	cfg, err := own.With(&change)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	f.n.setConfig(cfg, "Leader")
+	return nil
+}
+
+// configArriving reports whether a part of the configuration has arrived lately.
+func (n *Node) configArriving(now ibiscell.Time) bool {
+	at := n.configPartAt.Load()
+	return at != 0 && now-at < configPartTimeout.Milliseconds()
+}
--- /dev/null
+++ b/ibisnode/configlink_test.go
@@ -0,0 +1,132 @@
+package ibisnode
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisjob"
+)
+
+type fixedClock struct{}
+
+func (fixedClock) Now() ibiscell.Time { return 1000 }
+func (fixedClock) UnixMS() int64      { return 1000 }
+
+func newTestNode(cfg *ibisjob.Config) *Node {
+	return &Node{cfg: cfg, clock: fixedClock{}, registry: metrics.NewRegistry(), log: &log.Logger{Handler: discard.New()}, routeChanged: make(chan struct{})}
+}
+
+func newTestTerm(cfg *ibisjob.Config) *term {
+	n := newTestNode(cfg)
+	return &term{n: n, log: n.log, configParts: make(chan struct{}, maxConfigParts)}
+}
+
+// largeConfig returns a configuration that takes more than one part.
+func largeConfig(version int64) *ibisjob.Config {
+	return &ibisjob.Config{Version: version, Teams: []ibisjob.Team{{Name: "a", Keys: []string{string(make([]byte, 3*configPartBytes))}}}}
+}
+
+// serveTestLink is the other end of a link: it has f handle what is sent and returns its acknowledgements to l. It ends
+// when the configuration of f has reached version, and reports false if that takes too long.
+func serveTestLink(l *link, f *follower, version int64) bool {
+	deadline := time.After(10 * time.Second)
+	for f.n.Config() == nil || f.n.Config().Version < version {
+		select {
+		case <-l.out.wake:
+		case <-deadline:
+			return false
+		}
+		for _, p := range take(l.out).ConfigParts {
+			f.handleConfigPart(&p)
+		}
+		for _, a := range take(f.out).ConfigAcks {
+			l.handleConfigAck(a)
+		}
+	}
+	return true
+}
+
+// take returns what is queued.
+func take(o *outbox) *frame {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.queued
+	o.queued, o.frames = nil, 0
+	if f == nil {
+		return &frame{}
+	}
+	return f
+}
+
+// Guards against frozen daemons that keep all others from getting the configuration.
+func TestFrozenDaemonsDoNotHoldBackTheConfiguration(t *testing.T) {
+	term := newTestTerm(largeConfig(7))
+	for range maxConfigParts {
+		frozen := newLink(member{})
+		defer close(frozen.done)
+		term.offerConfig(frozen)
+		<-frozen.out.wake
+	}
+	l, f := newLink(member{}), &follower{n: newTestNode(nil), out: newOutbox()}
+	defer close(l.done)
+	term.offerConfig(l)
+	assert.Assert(t, serveTestLink(l, f, 7))
+}
+
+// Guards against a daemon that misses a configuration which comes while an earlier one is being sent.
+func TestNextConfigurationFollowsTheOneThatIsBeingSent(t *testing.T) {
+	term := newTestTerm(largeConfig(7))
+	l, f := newLink(member{}), &follower{n: newTestNode(nil), out: newOutbox()}
+	defer close(l.done)
+	term.offerConfig(l)
+	<-l.out.wake
+	l.out.wake <- struct{}{}
+	term.n.setConfig(largeConfig(8), "Table")
+	term.offerConfig(l)
+	assert.Assert(t, serveTestLink(l, f, 8))
+}
+
+// Guards against a change that is applied to another version than its base, or not as a whole.
+func TestConfigurationPartsThatDoNotFitAreRefused(t *testing.T) {
+	old := &ibisjob.Config{Version: 4, Queues: []ibisjob.Queue{{Name: "a"}, {Name: "b"}}}
+	b, err := cbor.Marshal((&ibisjob.Config{Version: 5, Queues: old.Queues[:1]}).ChangeSince(old))
+	assert.NilError(t, err)
+	half := len(b) / 2
+	for name, c := range map[string]struct {
+		own     int64
+		parts   []configPart
+		refused bool
+		version int64
+	}{
+		"whole":          {4, []configPart{{Version: 5, Size: len(b), Data: b}}, false, 5},
+		"two parts":      {4, []configPart{{Version: 5, Size: len(b), Data: b[:half]}, {Version: 5, Offset: half, Size: len(b), Data: b[half:]}}, false, 5},
+		"other base":     {3, []configPart{{Version: 5, Size: len(b), Data: b}}, true, 3},
+		"newer already":  {6, []configPart{{Version: 5, Size: len(b), Data: b}}, false, 6},
+		"gap":            {4, []configPart{{Version: 5, Size: len(b), Data: b[:half]}, {Version: 5, Offset: half + 1, Size: len(b), Data: b[half+1:]}}, true, 4},
+		"other version":  {4, []configPart{{Version: 5, Size: len(b), Data: b[:half]}, {Version: 6, Offset: half, Size: len(b), Data: b[half:]}}, true, 4},
+		"no first part":  {4, []configPart{{Version: 5, Offset: half, Size: len(b), Data: b[half:]}}, true, 4},
+		"too much":       {4, []configPart{{Version: 5, Size: half, Data: b}}, true, 4},
+		"too large":      {4, []configPart{{Version: 5, Size: 1 << 40, Data: b}}, true, 4},
+		"not a change":   {4, []configPart{{Version: 5, Size: 1, Data: []byte{0xff}}}, true, 4},
+		"sent once more": {4, []configPart{{Version: 5, Size: len(b), Data: b[:half]}, {Version: 5, Size: len(b), Data: b}}, false, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &follower{n: newTestNode(&ibisjob.Config{Version: c.own, Queues: old.Queues}), out: newOutbox()}
+			for _, p := range c.parts {
+				f.handleConfigPart(&p)
+			}
+			acks := take(f.out).ConfigAcks
+			assert.Equal(t, len(acks), len(c.parts))
+			assert.Equal(t, acks[len(acks)-1].Refused, c.refused)
+			assert.Equal(t, acks[len(acks)-1].Own, c.version)
+			assert.Equal(t, f.n.Config().Version, c.version)
+		})
+	}
+}
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -40,7 +40,6 @@
 	AdviceResults []adviceResult      `cbor:"5,keyasint,omitempty"`
 	Ping          *ping               `cbor:"6,keyasint,omitempty"`
 	Pong          *pong               `cbor:"7,keyasint,omitempty"`
-	Config        *ibisjob.Config     `cbor:"8,keyasint,omitempty"`
 	Transfer      *leadershipTransfer `cbor:"9,keyasint,omitempty"`
 	Members       []member            `cbor:"10,keyasint,omitempty"` // all linked daemons and the leader, once on each link
 	Leader        *leaderRow          `cbor:"11,keyasint,omitempty"` // the leader to link to instead of the sender
@@ -50,6 +49,8 @@
 	ScoutReports  []scoutReport       `cbor:"15,keyasint,omitempty"`
 	MemberChanges []memberChange      `cbor:"16,keyasint,omitempty"` // since Members, in order
 	Recovering    bool                `cbor:"17,keyasint,omitempty"` // the sender has acquired leadership and reads the journal
+	ConfigParts   []configPart        `cbor:"18,keyasint,omitempty"`
+	ConfigAcks    []configAck         `cbor:"19,keyasint,omitempty"`
 }
 
 // hello opens a link.
@@ -117,6 +118,8 @@
 	f.Results = append(f.Results, o.Results...)
 	f.ScoutReports = append(f.ScoutReports, o.ScoutReports...)
 	f.MemberChanges = append(f.MemberChanges, o.MemberChanges...)
+	f.ConfigParts = append(f.ConfigParts, o.ConfigParts...)
+	f.ConfigAcks = append(f.ConfigAcks, o.ConfigAcks...)
 	if o.Hello != nil {
 		f.Hello = o.Hello
 	}
@@ -130,9 +133,6 @@
 	if o.Pong != nil {
 		f.Pong = o.Pong
 	}
-	if o.Config != nil {
-		f.Config = o.Config
-	}
 	if o.Members != nil {
 		f.Members = o.Members
 	}
@@ -146,6 +146,6 @@
 
 // onlyRelayed reports whether f contains nothing but orders to a relay, or their results.
 func (f *frame) onlyRelayed() bool {
-	return len(f.Orders)+len(f.Results) > 0 && len(f.Requests)+len(f.Replies)+len(f.Advise)+len(f.AdviceResults)+len(f.ScoutReports)+len(f.MemberChanges) == 0 &&
-		f.Hello == nil && f.Ping == nil && f.Pong == nil && f.Config == nil && f.Transfer == nil && f.Members == nil && f.Leader == nil && f.Scout == nil
+	return len(f.Orders)+len(f.Results) > 0 && len(f.Requests)+len(f.Replies)+len(f.Advise)+len(f.AdviceResults)+len(f.ScoutReports)+len(f.MemberChanges)+len(f.ConfigParts)+len(f.ConfigAcks) == 0 &&
+		f.Hello == nil && f.Ping == nil && f.Pong == nil && f.Transfer == nil && f.Members == nil && f.Leader == nil && f.Scout == nil
 }
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -324,12 +324,13 @@
 
 type member struct {
 	*ibisnode.Node
-	name   string
-	table  *tableView
-	link   *ibisharness.Link
-	events *events
-	fleet  *fleetView
-	stop   func()
+	name     string
+	registry metrics.Registry
+	table    *tableView
+	link     *ibisharness.Link
+	events   *events
+	fleet    *fleetView
+	stop     func()
 }
 
 func (m *member) leads() bool {
@@ -371,11 +372,11 @@
 
 // addMember starts one more daemon; the others reach it through a link that can fail.
 func (g *group) addMember(power float64) *member {
-	m := &member{name: fmt.Sprintf("n%d", len(g.members)), table: &tableView{sharedTable: g.table}, fleet: &fleetView{fleet: g.fleet}, events: &events{n: map[string]int{}}}
+	m := &member{name: fmt.Sprintf("n%d", len(g.members)), registry: metrics.NewRegistry(), table: &tableView{sharedTable: g.table}, fleet: &fleetView{fleet: g.fleet}, events: &events{n: map[string]int{}}}
 	listen := ibisharness.FreeAddress(g.t)
 	m.link = ibisharness.NewLink(g.t, m.name, listen)
 	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct}, ibisnode.Ports{
-		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: metrics.NewRegistry(),
+		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: m.registry,
 		Log: &log.Logger{Handler: m.events, Level: log.InfoLevel},
 	})
 	stop, err := m.Start()
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -26,9 +26,15 @@
 	out    *outbox
 	pingAt atomic.Int64 // arrival of the last ping, on the node's clock
 
-	draining    atomic.Bool // the other daemon is being stopped
-	toldMembers bool        // the other daemon has been sent the list of members; guarded by term.mu
-	logged      bool        // its opening was logged, so that its end is too
+	draining atomic.Bool   // the other daemon is being stopped
+	done     chan struct{} // closed with the link
+
+	configVersion atomic.Int64   // of the other daemon's configuration
+	sendingConfig atomic.Bool    // a goroutine sends it the configuration
+	configAcks    chan configAck // to that goroutine
+
+	toldMembers bool // the other daemon has been sent the list of members; guarded by term.mu
+	logged      bool // its opening was logged, so that its end is too
 
 	// Owned by the engine's goroutine.
 	targets      map[ibiscell.Target]int // index of each server named to the relay
@@ -44,7 +50,7 @@
 }
 
 func newLink(m member) *link {
-	return &link{member: m, out: newOutbox(), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
+	return &link{member: m, out: newOutbox(), done: make(chan struct{}), configAcks: make(chan configAck, 1), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
 }
 
 // serveLink serves a link that another daemon has opened. A daemon that doesn't lead, or leads with a lower epoch
@@ -69,13 +75,13 @@
 	}
 	l := newLink(f.Hello.Member)
 	l.pingAt.Store(n.clock.Now())
+	if f.Ping != nil {
+		l.recordPeerConfig(f.Ping.Version)
+	}
 	t.addLink(l)
 	defer t.removeLink(l)
 	go l.out.run(s.Send)
-	if cfg := n.Config(); cfg != nil {
-		l.out.put(&frame{Config: cfg})
-		t.countConfig(f.Ping != nil && f.Ping.Version >= cfg.Version)
-	}
+	t.offerConfig(l)
 	recvErr := make(chan error, 1)
 	go func() {
 		for {
@@ -119,6 +125,7 @@
 	t.changes.closed++
 	t.mu.Unlock()
 	l.out.close()
+	close(l.done)
 	t.expireOrders(l, math.MaxInt64)
 	if l.logged {
 		t.log.WithField("Peer", l.Name).Info("LinkClosed")
@@ -161,9 +168,14 @@
 		t.handleScoutConfig(&f.ScoutReports[k])
 		t.enqueue(func(e *ibiscell.Engine) { t.handleScoutReport(e, l, &f.ScoutReports[k]) })
 	}
+	for _, a := range f.ConfigAcks {
+		l.handleConfigAck(a)
+	}
 	if f.Ping != nil {
 		l.pingAt.Store(t.n.clock.Now())
 		l.draining.Store(f.Ping.Draining)
+		l.recordPeerConfig(f.Ping.Version)
+		t.offerConfig(l)
 		l.out.put(&frame{Pong: t.newPong(f.Ping)})
 	}
 }
@@ -202,6 +214,7 @@
 	// Owned by follow.
 	targets   []ibiscell.Target // named by the leader's orders
 	stopScout context.CancelFunc
+	arriving  arrivingConfig
 }
 
 // request sends r to the leader. When the link breaks before the reply, answer is called with NotLeader.
@@ -343,8 +356,8 @@
 	for k := range m.MemberChanges {
 		f.n.changeMembers(&m.MemberChanges[k])
 	}
-	if m.Config != nil {
-		f.n.setConfig(m.Config, "Leader")
+	for k := range m.ConfigParts {
+		f.handleConfigPart(&m.ConfigParts[k])
 	}
 	if p := m.Pong; p != nil {
 		f.mu.Lock()
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -88,6 +88,7 @@
 	cfg               *ibisjob.Config
 	keys              map[string]string // team by key
 	configConfirmedAt ibiscell.Time     // when the read began that last confirmed cfg
+	earlierConfigs    []*ibisjob.Config // replaced ones, the latest last
 	ownTerm           *term             // nil unless this daemon leads
 	follower          *follower         // nil unless this daemon is linked to a leader
 	routeChanged      chan struct{}     // closed and replaced when ownTerm or follower changes
@@ -102,6 +103,8 @@
 	steppedDownAt    ibiscell.Time // when this daemon last gave up leadership
 	recoveringSeenAt ibiscell.Time // when a leader last said that it reads the journal; 0: never
 
+	configPartAt atomic.Int64 // when the last part of a configuration arrived, on the node's clock; 0: never
+
 	recovering atomic.Bool  // this daemon has acquired leadership and reads the journal
 	slowReadAt atomic.Int64 // when a read of the table was last slow, on the node's clock; 0: never
 }
--- a/ibisnode/scout.go
+++ b/ibisnode/scout.go
@@ -10,7 +10,6 @@
 	"github.com/apex/log"
 
 	"ibiscrank/ibiscell"
-	"ibiscrank/ibisjob"
 )
 
 // A scout reads the list of backend servers and the configuration for a leader with many servers, and sends it only
@@ -23,7 +22,6 @@
 type scoutReport struct {
 	At            ibiscell.Time         `cbor:"1,keyasint"`           // lower bound of when the reads began, on the leader's clock
 	ConfigVersion int64                 `cbor:"2,keyasint,omitempty"` // 0: the configuration hasn't been read
-	Config        *ibisjob.Config       `cbor:"3,keyasint,omitempty"` // if it is new to the leader
 	Servers       bool                  `cbor:"4,keyasint,omitempty"` // the servers have been read
 	All           bool                  `cbor:"5,keyasint,omitempty"` // Changed lists all servers
 	Changed       []ibiscell.ServerInfo `cbor:"6,keyasint,omitempty"`
@@ -75,13 +73,18 @@
 	On bool `cbor:"1,keyasint,omitempty"`
 }
 
-// handleScoutConfig applies the configuration of a scout's report. That of a former scout is as good as any.
+// handleScoutConfig handles the version of the configuration in a scout's report. That of a former scout is as good as
+// any. A newer configuration is read from the platform: it may be too large for the link of the scout.
 func (t *term) handleScoutConfig(r *scoutReport) {
-	if r.Config != nil {
-		t.n.setConfig(r.Config, "Scout")
+	if r.ConfigVersion == 0 {
+		return
 	}
-	if r.ConfigVersion > 0 {
-		t.n.confirmConfig(r.ConfigVersion, r.At)
+	t.n.confirmConfig(r.ConfigVersion, r.At)
+	if _, version := t.n.configStatus(); r.ConfigVersion > version {
+		select {
+		case t.configWanted <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -166,18 +169,10 @@
 	return f.n.directory.Servers(ctx)
 }
 
-// scoutConfig reads the configuration and adds it to r if it is newer than the leader's.
+// scoutConfig reads the configuration and adds its version to r.
 func (f *follower) scoutConfig(ctx context.Context, r *scoutReport) {
-	if !f.n.readConfig(ctx) {
-		return
-	}
-	cfg := f.n.Config()
-	f.mu.Lock()
-	leaderVersion := f.lastPong.Version
-	f.mu.Unlock()
-	r.ConfigVersion = cfg.Version
-	if cfg.Version > leaderVersion {
-		r.Config = cfg
+	if f.n.readConfig(ctx) {
+		r.ConfigVersion = f.n.Config().Version
 	}
 }
 
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -59,6 +59,10 @@
 	commitAt     atomic.Int64     // of the last commit, on the node's clock
 	steppingDown atomic.Bool      // leadership is to be given up with the next commit
 
+	changesToConfig changeEncoder
+	configParts     chan struct{} // has an element for each part of the configuration that is on its way
+	configWanted    chan struct{} // the scout has seen a newer configuration
+
 	mu             sync.Mutex
 	links          map[*link]bool
 	unreached      map[string]bool        // daemons whose link has closed although they may still be running
@@ -456,11 +460,22 @@
 
 // pollConfig keeps the configuration up to date.
 func (t *term) pollConfig() {
-	for t.n.sleep(t.ctx, configInterval) {
-		if confirmedAt, _ := t.n.configStatus(); t.scoutFresh.Load() && t.n.clock.Now()-confirmedAt < scoutTimeout.Milliseconds() {
-			continue
+	timer := time.NewTimer(configInterval)
+	defer timer.Stop()
+	for {
+		confirmedAt, _ := t.n.configStatus()
+		wanted := false
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-timer.C:
+		case <-t.configWanted:
+			wanted = true
+		}
+		if wanted || !t.scoutFresh.Load() || t.n.clock.Now()-confirmedAt >= scoutTimeout.Milliseconds() {
+			t.n.readConfig(t.ctx)
 		}
-		t.n.readConfig(t.ctx)
+		timer.Reset(configInterval)
 	}
 }
 
@@ -470,8 +485,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for l := range t.links {
-		l.out.put(&frame{Config: cfg})
-		t.changes.configs++
+		t.offerConfig(l)
 	}
 }
 
--- a/ibisnode/traffic.go
+++ b/ibisnode/traffic.go
@@ -15,18 +15,16 @@
 // linkChanges counts what has happened to links since the last report.
 type linkChanges struct {
 	opened, closed int
-	configs        int // configurations sent
-	configsKnown   int // of these, to daemons that had that version or a newer one
+	configs        int // changes of the configuration sent
+	configBytes    int // of these changes
 }
 
-// countConfig counts a configuration that is sent to a linked daemon; known says that the daemon has it already.
-func (t *term) countConfig(known bool) {
+// countConfig counts a change of the configuration that is sent to a linked daemon.
+func (t *term) countConfig(bytes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.changes.configs++
-	if known {
-		t.changes.configsKnown++
-	}
+	t.changes.configBytes += bytes
 }
 
 // reportLinks logs what has happened to links since the last report.
@@ -38,7 +36,7 @@
 	if c == (linkChanges{}) {
 		return
 	}
-	t.log.WithFields(log.Fields{"Opened": c.opened, "Closed": c.closed, "Configs": c.configs, "ConfigsKnown": c.configsKnown}).Info("LinksChanged")
+	t.log.WithFields(log.Fields{"Opened": c.opened, "Closed": c.closed, "Configs": c.configs, "ConfigKB": c.configBytes >> 10}).Info("LinksChanged")
 }
 
 // Names of counters of bytes.
