--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -19,7 +19,7 @@
 	noLeaderTolerance = 2500 * time.Millisecond
 	// configMaxAgeFraction is the part of Settings.RevokeMS for which a confirmed configuration stays valid.
 	configMaxAgeFraction = 0.75
-	// directReadAfter is the time without a confirmation by the leader after which a daemon reads the
+	// directReadAfter is the time without a new confirmation by the leader after which a daemon reads the
 	// configuration from the platform itself.
 	directReadAfter = 1100 * time.Millisecond
 	// notReadyRetryMS is the retry delay for callers that this daemon can't serve.
@@ -179,11 +179,18 @@
 func (n *Node) confirmConfig(version int64, at ibiscell.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cfg != nil && n.cfg.Version >= version {
-		n.configConfirmedAt = max(n.configConfirmedAt, at)
+	if n.cfg != nil && n.cfg.Version >= version && at > n.configConfirmedAt {
+		n.configConfirmedAt, n.configHeardAt = at, n.clock.Now()
 	}
 }
 
+// sinceConfigConfirmed returns the time since the configuration was last confirmed anew.
+func (n *Node) sinceConfigConfirmed() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(n.clock.Now()-n.configHeardAt) * time.Millisecond
+}
+
 // setConfig applies a configuration if it is newer than the present one.
 func (n *Node) setConfig(cfg *ibisjob.Config, source string) {
 	n.mu.Lock()
@@ -207,24 +214,24 @@
 	}
 }
 
-// readConfig reads the configuration from the platform and confirms it as of the start of the read. It reports
-// whether there is one.
-func (n *Node) readConfig(ctx context.Context) bool {
+// readConfig reads the configuration from the platform and confirms it; see Directory for lag. It reports whether there
+// is one.
+func (n *Node) readConfig(ctx context.Context) (lag time.Duration, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	began := n.clock.Now()
-	cfg, err := n.directory.Config(ctx)
+	cfg, lag, err := n.directory.Config(ctx)
 	if err != nil {
 		n.dependencyLost("Config", err)
-		return false
+		return 0, false
 	}
 	n.dependencyBack("Config")
 	if cfg == nil {
-		return false
+		return 0, false
 	}
 	n.setConfig(cfg, "Table")
-	n.confirmConfig(cfg.Version, began)
-	return true
+	n.confirmConfig(cfg.Version, began-lag.Milliseconds())
+	return lag, true
 }
 
 // readConfigWithoutLeader reads the configuration whenever no leader has confirmed it lately. A daemon that
@@ -234,7 +241,7 @@
 		if n.currentTerm() != nil {
 			continue
 		}
-		if confirmedAt, _ := n.configStatus(); n.clock.Now()-confirmedAt > directReadAfter.Milliseconds() && !n.configArriving(n.clock.Now()) {
+		if n.sinceConfigConfirmed() > directReadAfter && !n.configArriving(n.clock.Now()) {
 			n.readConfig(ctx)
 		}
 	}
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -200,13 +200,13 @@
 }
 
 // Config and Servers implement ibisnode.Directory, available as long as the table is.
-func (v *tableView) Config(ctx context.Context) (*ibisjob.Config, error) {
+func (v *tableView) Config(ctx context.Context) (*ibisjob.Config, time.Duration, error) {
 	if err := v.check(ctx); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.cfg, nil
+	return v.cfg, 0, nil
 }
 
 func (v *tableView) Servers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -87,7 +87,8 @@
 	mu                sync.Mutex
 	cfg               *ibisjob.Config
 	keys              map[string]string // team by key
-	configConfirmedAt ibiscell.Time     // when the read began that last confirmed cfg
+	configConfirmedAt ibiscell.Time     // when cfg was last known to be the newest
+	configHeardAt     ibiscell.Time     // when configConfirmedAt last rose
 	earlierConfigs    []*ibisjob.Config // replaced ones, the latest last
 	ownTerm           *term             // nil unless this daemon leads
 	follower          *follower         // nil unless this daemon is linked to a leader
@@ -115,7 +116,7 @@
 	return &Node{
 		settings: settings, table: p.Table, directory: p.Directory, servers: p.Servers, advisor: p.Advisor, clock: p.Clock,
 		log: p.Log, registry: p.Registry, routeChanged: make(chan struct{}), unavailable: make(map[string]bool),
-		configConfirmedAt: neverConfirmed, noLeaderSince: p.Clock.Now(), startedMS: p.Clock.UnixMS(),
+		configConfirmedAt: neverConfirmed, configHeardAt: neverConfirmed, noLeaderSince: p.Clock.Now(), startedMS: p.Clock.UnixMS(),
 	}
 }
 
--- a/ibisnode/scout.go
+++ b/ibisnode/scout.go
@@ -22,6 +22,7 @@
 type scoutReport struct {
 	At            ibiscell.Time         `cbor:"1,keyasint"`           // lower bound of when the reads began, on the leader's clock
 	ConfigVersion int64                 `cbor:"2,keyasint,omitempty"` // 0: the configuration hasn't been read
+	ConfigLagMS   int64                 `cbor:"8,keyasint,omitempty"` // a change made less than this before At may be missing
 	Servers       bool                  `cbor:"4,keyasint,omitempty"` // the servers have been read
 	All           bool                  `cbor:"5,keyasint,omitempty"` // Changed lists all servers
 	Changed       []ibiscell.ServerInfo `cbor:"6,keyasint,omitempty"`
@@ -79,7 +80,7 @@
 	if r.ConfigVersion == 0 {
 		return
 	}
-	t.n.confirmConfig(r.ConfigVersion, r.At)
+	t.n.confirmConfig(r.ConfigVersion, r.At-r.ConfigLagMS)
 	if _, version := t.n.configStatus(); r.ConfigVersion > version {
 		select {
 		case t.configWanted <- struct{}{}:
@@ -171,8 +172,8 @@
 
 // scoutConfig reads the configuration and adds its version to r.
 func (f *follower) scoutConfig(ctx context.Context, r *scoutReport) {
-	if f.n.readConfig(ctx) {
-		r.ConfigVersion = f.n.Config().Version
+	if lag, ok := f.n.readConfig(ctx); ok {
+		r.ConfigVersion, r.ConfigLagMS = f.n.Config().Version, lag.Milliseconds()
 	}
 }
 
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -463,7 +463,6 @@
 	timer := time.NewTimer(configInterval)
 	defer timer.Stop()
 	for {
-		confirmedAt, _ := t.n.configStatus()
 		wanted := false
 		select {
 		case <-t.ctx.Done():
@@ -472,7 +471,7 @@
 		case <-t.configWanted:
 			wanted = true
 		}
-		if wanted || !t.scoutFresh.Load() || t.n.clock.Now()-confirmedAt >= scoutTimeout.Milliseconds() {
+		if wanted || !t.scoutFresh.Load() || t.n.sinceConfigConfirmed() >= scoutTimeout {
 			t.n.readConfig(t.ctx)
 		}
 		timer.Reset(configInterval)
