ibisjob: changes of sorted lists, and compressed changes on links

Cause: the change since the version that a daemon has was computed for items that are appended. Operators' lists are sorted by name, so new queues are inserted, the check of the change failed, and the whole configuration was sent: 642 KiB to each of 146 daemons, 92 MB at 12 MB/s, 7.5 s.

Change: a change names the indices of its items. It is compressed, which matters where the whole has to be sent.

Before: TestConfigChangeLeadsToTheNewVersion with items inserted anywhere failed on the code before: "1578 of 2,000 changes list the whole configuration".

--- a/ibisjob/configchange_test.go
+++ b/ibisjob/configchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -24,8 +25,8 @@
 		}
 	}
 	for n := range rng.IntN(5) {
-		c.Queues = append(c.Queues, Queue{Name: fmt.Sprint("queue", c.Version, "-", n)})
-		c.Teams = append(c.Teams, Team{Name: fmt.Sprint("team", c.Version, "-", n)})
+		c.Queues = slices.Insert(c.Queues, rng.IntN(len(c.Queues)+1), Queue{Name: fmt.Sprint("queue", c.Version, "-", n)})
+		c.Teams = slices.Insert(c.Teams, rng.IntN(len(c.Teams)+1), Team{Name: fmt.Sprint("team", c.Version, "-", n)})
 	}
 	if rng.IntN(8) == 0 { // the order of the rest changes
 		rng.Shuffle(len(c.Queues), func(a, b int) { c.Queues[a], c.Queues[b] = c.Queues[b], c.Queues[a] })
@@ -61,7 +62,7 @@
 	next := &Config{Version: 2, Queues: append([]Queue{}, base.Queues...)}
 	next.Queues[17].Priority = 1
 	change := next.ChangeSince(base)
-	assert.DeepEqual(t, change, &ConfigChange{Base: 1, Version: 2, Queues: next.Queues[17:18]})
+	assert.DeepEqual(t, change, &ConfigChange{Base: 1, Version: 2, Queues: ListChange[Queue]{Items: next.Queues[17:18], At: []int{17}}})
 }
 
 func TestConfigChangeAppliesToItsBaseOnly(t *testing.T) {
@@ -70,4 +71,9 @@
 	assert.ErrorContains(t, err, "a change from version 3 to 5 can't be applied to version 4")
 	_, err = (&Config{Version: 3}).With(&ConfigChange{Base: 3, Version: 3})
 	assert.ErrorContains(t, err, "from version 3 to 3")
+	base := &Config{Version: 3, Queues: []Queue{{Name: "a"}}}
+	for _, at := range [][]int{nil, {0, 1}, {2}, {-1}} {
+		_, err = base.With(&ConfigChange{Base: 3, Version: 4, Queues: ListChange[Queue]{Items: []Queue{{Name: "b"}}, At: at}})
+		assert.ErrorContains(t, err, "queues: ", "%v", at)
+	}
 }
--- a/ibisnode/config_test.go
+++ b/ibisnode/config_test.go
@@ -36,7 +36,7 @@
 	g := newGroup(t, 1, 0.2, 0.2, 0.2, 0.2)
 	g.leader().link.Limit(1000)
 	before := g.count("LeaderLost")
-	g.table.setConfig(newConfig(2, 6000)) // about 1.2 MB on a link
+	g.table.setConfig(newConfig(2, 6000)) // more than 0.9 MB on a link
 	g.awaitConfig(2, g.members...)
 	unserved := 0
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -1,6 +1,9 @@
 package ibisnode
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -66,14 +69,39 @@
 	if b, ok := e.changes[from]; ok {
 		return b, nil
 	}
-	b, err := cbor.Marshal(cfg.ChangeSince(base))
+	b, err := encodeConfigChange(cfg.ChangeSince(base))
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	e.changes[from] = b
 	return b, nil
 }
 
+// encodeConfigChange encodes a change as compressed CBOR.
+func encodeConfigChange(c *ibisjob.ConfigChange) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := cbor.NewEncoder(w).Encode(c); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeConfigChange decodes the result of encodeConfigChange.
+func decodeConfigChange(b []byte) (*ibisjob.ConfigChange, error) {
+	c := new(ibisjob.ConfigChange)
+	if err := cbor.NewDecoder(io.LimitReader(flate.NewReader(bytes.NewReader(b)), ibisrpc.MaxMessageBytes)).Decode(c); err != nil {
+		return nil, Error.New("decode a change of the configuration: %w", err)
+	}
+	return c, nil
+}
+
 // earlierConfig returns an earlier version of the configuration, or nil if this daemon doesn't have it any more.
 func (n *Node) earlierConfig(version int64) *ibisjob.Config {
 	n.mu.Lock()
@@ -211,9 +239,9 @@
 	if len(a.data) < p.Size {
 		return nil
 	}
-	var change ibisjob.ConfigChange
-	if err := cbor.Unmarshal(a.data, &change); err != nil {
-		return Error.New("decode the change of the configuration: %w", err)
+	change, err := decodeConfigChange(a.data)
+	if err != nil {
+		return err
 	}
 	f.arriving = arrivingConfig{}
 	own := f.n.Config()
@@ -223,7 +251,7 @@
 	if own.Version >= change.Version {
 		return nil
 	}
-	cfg, err := own.With(&change)
+	cfg, err := own.With(change)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -1,12 +1,13 @@
 package ibisnode
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
@@ -30,7 +31,12 @@
 
 // largeConfig returns a configuration that takes more than one part.
 func largeConfig(version int64) *ibisjob.Config {
-	return &ibisjob.Config{Version: version, Teams: []ibisjob.Team{{Name: "a", Keys: []string{string(make([]byte, 3*configPartBytes))}}}}
+	rng := rand.New(rand.NewPCG(1, uint64(version)))
+	cfg := &ibisjob.Config{Version: version}
+	for range 5000 {
+		cfg.Queues = append(cfg.Queues, ibisjob.Queue{Name: strconv.FormatUint(rng.Uint64(), 36)})
+	}
+	return cfg
 }
 
 // serveTestLink is the other end of a link: it has f handle what is sent and returns its acknowledgements to l. It ends
@@ -96,7 +102,7 @@
 // Guards against a change that is applied to another version than its base, or not as a whole.
 func TestConfigurationPartsThatDoNotFitAreRefused(t *testing.T) {
 	old := &ibisjob.Config{Version: 4, Queues: []ibisjob.Queue{{Name: "a"}, {Name: "b"}}}
-	b, err := cbor.Marshal((&ibisjob.Config{Version: 5, Queues: old.Queues[:1]}).ChangeSince(old))
+	b, err := encodeConfigChange((&ibisjob.Config{Version: 5, Queues: old.Queues[:1]}).ChangeSince(old))
 	assert.NilError(t, err)
 	half := len(b) / 2
 	for name, c := range map[string]struct {
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -38,17 +39,27 @@
 
 // newConfig returns a configuration with one team and a number of queues, of which jobs use the first.
 func newConfig(version int64, queues int) *ibisjob.Config {
+	rng := rand.New(rand.NewPCG(1, 1))
 	cfg := &ibisjob.Config{Version: version, Teams: []ibisjob.Team{{Name: "a", Keys: []string{"key"}, Weight: 100}}}
 	for n := range queues {
 		q := ibisjob.Queue{Name: "q", Host: "h", PathPrefix: "/", Service: "svc", SlackFactor: 2, ObjectiveMS: 1000, MaxAttempts: 2}
 		if n > 0 {
-			q.Name, q.Host, q.PathPrefix = fmt.Sprintf("queue-%07d", n), fmt.Sprintf("host-%07d.example", n), fmt.Sprintf("/path-%07d/", n)
+			q.Name, q.Host, q.PathPrefix = randomName(rng), randomName(rng), "/"+randomName(rng)
 		}
 		cfg.Queues = append(cfg.Queues, q)
 	}
 	return cfg
 }
 
+// randomName returns a name that can't be compressed much.
+func randomName(rng *rand.Rand) string {
+	name := make([]byte, 64)
+	for k := range name {
+		name[k] = byte(33 + rng.IntN(90))
+	}
+	return string(name)
+}
+
 func (t *sharedTable) setConfig(cfg *ibisjob.Config) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
