--- /dev/null
+++ b/ibisnode/slowread_test.go
@@ -0,0 +1,51 @@
+package ibisnode_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibiscrank/ibiscell"
+	"ibiscrank/ibisharness"
+)
+
+// Guards against a leader that gives up reading the configuration over a slow link, begins again, and so never gets it.
+func TestConfigurationIsReadOverASlowLink(t *testing.T) {
+	g := newGroup(t, 1, 0.2)
+	g.table.setConfigTime(2500 * time.Millisecond) // 600 KB on a link of 2 Mbit/s
+	g.table.setConfig(newConfig(2, 1))
+	for _, m := range g.members {
+		ibisharness.Eventually(t, 10*time.Second, m.name+" applies the configuration", func() bool { return m.Config().Version >= 2 })
+	}
+}
+
+// Guards against scouts that replace each other because each of them first reads the whole configuration, which takes
+// longer than the leader waits for their report.
+func TestScoutIsKeptWhileItReadsTheConfiguration(t *testing.T) {
+	g := newGroupOf(t, 30, 10, 1, 1, 1, 1, 1)
+	g.awaitScout()
+	g.table.setConfigTime(1600 * time.Millisecond) // 2 MB on a link of 10 Mbit/s, 400 KB on one of 2 Mbit/s
+	before := g.count("ScoutChosen")
+	time.Sleep(15 * time.Second)
+	chosen := g.count("ScoutChosen") - before
+	assert.Assert(t, chosen <= 1, "%d scouts were chosen in 15 s", chosen)
+}
+
+// recoveryTime is how long the cell may take to serve again after a fault.
+const recoveryTime = 15 * time.Second
+
+// Guards against leaders that replace each other for ever because each of them is silent while the journal fills its link.
+func TestLeadersDoNotReplaceEachOtherWhileTheJournalFillsTheirLinks(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1, 1, 1)
+	g.table.setScan(3*time.Second, true) // 750 KB on a link of 2 Mbit/s
+	old := g.leader()
+	old.stop()
+	g.members = g.others(old)
+	ibisharness.Eventually(t, recoveryTime, "a leader has read the journal and stays", func() bool {
+		leader := g.leader()
+		return leader != nil && g.submit(leader) == ibiscell.OK
+	})
+	g.awaitServing(g.members...)
+	g.assertRanOnce()
+}
