ibisnode: a scout reads the configuration apart from the servers

Cause: a scout read the configuration, then the servers, and dated the report by the start of both. With a large configuration on a slow link the report was older than 1.5 s, the leader dropped it and chose another scout, which began with the same read. A late report of the configuration alone dismissed the scout too.

Change: two loops, each with its own reports; the age is checked for reports of servers only.

Before: TestScoutIsKeptWhileItReadsTheConfiguration, 6 scouts in 15 s.

--- a/ibisnode/scout.go
+++ b/ibisnode/scout.go
@@ -92,18 +92,18 @@
 // handleScoutReport applies the servers of a report of l on the engine's goroutine. The reports of one link arrive in order, and each
 // is based on the one before it.
 func (t *term) handleScoutReport(e *ibiscell.Engine, l *link, r *scoutReport) {
+	if !r.Servers {
+		return
+	}
 	s := &t.scout
 	now := t.n.clock.Now()
-	if l != s.link || now-r.At > scoutTimeout.Milliseconds() || r.Servers && !r.All && s.servers == nil {
+	if l != s.link || now-r.At > scoutTimeout.Milliseconds() || !r.All && s.servers == nil {
 		t.log.WithFields(log.Fields{"Scout": l.Name, "AgeMS": now - r.At}).Info("ScoutReportDropped")
 		if l == s.link {
 			s.at, s.since = 0, 0 // the next report is based on this one
 		}
 		return
 	}
-	if !r.Servers {
-		return
-	}
 	s.at = r.At
 	t.scoutFresh.Store(true)
 	if r.All {
@@ -134,12 +134,13 @@
 	}
 	if o.On {
 		ctx, f.stopScout = context.WithCancel(ctx)
-		go f.scout(ctx)
+		go f.scoutServers(ctx)
+		go f.scoutConfig(ctx)
 	}
 }
 
-// scout reads the servers and the configuration until ctx ends, and reports what has changed.
-func (f *follower) scout(ctx context.Context) {
+// scoutServers reads the list of servers until ctx ends, and reports what has changed.
+func (f *follower) scoutServers(ctx context.Context) {
 	known := make(map[string]ibiscell.ServerInfo)
 	first := true
 	for f.n.sleep(ctx, serversInterval) {
@@ -147,33 +148,38 @@
 		if at == 0 {
 			continue
 		}
-		r := &scoutReport{At: at}
-		f.scoutConfig(ctx, r)
-		list, err := f.scoutServers(ctx)
+		list, err := f.readServers(ctx)
 		if err != nil {
 			f.n.dependencyLost("Servers", err)
-		} else {
-			f.n.dependencyBack("Servers")
-			r.Servers, r.All = true, first
-			first = false
-			r.addChanges(known, list)
+			continue
 		}
-		if (r.Servers || r.ConfigVersion > 0) && !f.out.put(&frame{ScoutReports: []scoutReport{*r}}) {
+		f.n.dependencyBack("Servers")
+		r := &scoutReport{At: at, Servers: true, All: first}
+		first = false
+		r.addChanges(known, list)
+		if !f.out.put(&frame{ScoutReports: []scoutReport{*r}}) {
 			return // the next report would be based on one that is lost
 		}
 	}
 }
 
-func (f *follower) scoutServers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
+func (f *follower) readServers(ctx context.Context) ([]ibiscell.ServerInfo, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return f.n.directory.Servers(ctx)
 }
 
-// scoutConfig reads the configuration and adds its version to r.
-func (f *follower) scoutConfig(ctx context.Context, r *scoutReport) {
-	if lag, ok := f.n.readConfig(ctx); ok {
-		r.ConfigVersion, r.ConfigLagMS = f.n.Config().Version, lag.Milliseconds()
+// scoutConfig reads the configuration until ctx ends, and reports its version. It does so apart from the servers, whose
+// reports may not be late.
+func (f *follower) scoutConfig(ctx context.Context) {
+	for f.n.sleep(ctx, configInterval) {
+		at := f.leaderNow()
+		if at == 0 {
+			continue
+		}
+		if lag, ok := f.n.readConfig(ctx); ok {
+			f.out.put(&frame{ScoutReports: []scoutReport{{At: at, ConfigVersion: f.n.Config().Version, ConfigLagMS: lag.Milliseconds()}}})
+		}
 	}
 }
 
