ibiscell: a run that a server reports as done counts, though its leases had lapsed for the leader

A server that the leader has not heard until all its leases have certainly ended loses its runs (LeasesLapsed, RunExpired). When it answers again it is claimed anew and lists the ends that were not acknowledged. processEnds looked for them among the server's present runs, found none, and acknowledged them: the server forgets them, and the leader starts a task that it has just been told is done.

Why it works. The task is found by its name, so it holds for a later leader too. A second run is not sent, or stopped. Only ends as done count: they can be processed twice without harm. An end as failed that comes late is still not counted as an attempt, since a server lists it again until it is acknowledged.

--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/apex/log"
 
@@ -200,6 +201,60 @@
 	}
 }
 
+// endUntracked processes the end of a run that the engine has given up, for example because its leases had lapsed
+// before the server answered again, and reports whether it has changed the job. If the run was done, so is its task: the
+// server forgets the end once it is acknowledged, so nobody else would learn of it. A later run is stopped.
+func (e *Engine) endUntracked(end RunEnd) bool {
+	t := e.findTask(end.Name.Task)
+	if end.Outcome != RunDone || t == nil || t.done || end.Name.Run > t.lastRun {
+		return false
+	}
+	st := t.step
+	j := st.occ.job
+	if st.spec.LongRunning || j.state.Final() {
+		return false
+	}
+	j.log(e).WithFields(log.Fields{"Task": end.Name.Task, "Run": end.Name.Run, "LastRun": t.lastRun}).Info("LateEndCounted")
+	done := []*task{t}
+	if st.spec.Gang { // one member that is done stands for all
+		done = st.tasks
+	}
+	e.markDirty(j, nil)
+	for _, t := range done {
+		if !t.done {
+			e.taskDone(t)
+		}
+	}
+	for _, t := range done {
+		if t.run != nil {
+			e.stopRun(t.run)
+		}
+	}
+	return true
+}
+
+// findTask returns the task with the given name, or nil if its occurrence is not in progress.
+func (e *Engine) findTask(name string) *task {
+	id, _, _ := strings.Cut(name, ".")
+	j := e.jobs[ibisjob.ID(id)]
+	if j == nil {
+		return nil
+	}
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			index, ok := strings.CutPrefix(name, st.name+".")
+			if !ok {
+				continue
+			}
+			if k, err := strconv.Atoi(index); err == nil && k >= 0 && k < len(st.tasks) {
+				return st.tasks[k]
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
 func (e *Engine) taskDone(t *task) {
 	t.done = true
 	st := t.step
