ibisnode: decode a configuration beside the other frames of the link

Callers would have seen: the leader replaced when a large configuration arrives at weak VMs.

Change: a complete change is applied by another goroutine, which acknowledges the last part.

TestConfigurationIsDecodedBesideOtherFrames blocks with the code before.

--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -215,35 +215,53 @@
 	data    []byte
 }
 
-// handleConfigPart adds a part of a change, and applies the change when it is complete.
+// handleConfigPart adds a part of a change. A complete change is applied by another goroutine: that takes a weak VM so
+// long that pongs would be handled too late.
 func (f *follower) handleConfigPart(p *configPart) {
 	f.n.configPartAt.Store(f.n.clock.Now())
-	err := f.addConfigPart(p)
-	if err != nil {
-		f.arriving = arrivingConfig{}
-		f.n.log.WithField("Version", p.Version).WithError(err).Warn("ConfigPartDropped")
+	complete, err := f.addConfigPart(p)
+	if err == nil && complete == nil {
+		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset}}})
+		return
 	}
-	_, own := f.n.configStatus()
-	f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
+	go func() {
+		if err == nil {
+			err = f.applyConfigChange(complete)
+		}
+		if err != nil {
+			f.n.log.WithField("Version", p.Version).WithError(err).Warn("ConfigPartDropped")
+		}
+		_, own := f.n.configStatus()
+		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
+	}()
 }
 
-func (f *follower) addConfigPart(p *configPart) error {
+// addConfigPart adds a part to those that have arrived, and returns the encoded change if it is the last one.
+func (f *follower) addConfigPart(p *configPart) (complete []byte, _ error) {
 	if p.Offset == 0 {
 		f.arriving = arrivingConfig{version: p.Version}
 	}
 	a := &f.arriving
 	if p.Size > ibisrpc.MaxMessageBytes || p.Version != a.version || p.Offset != len(a.data) || p.Offset+len(p.Data) > p.Size {
-		return Error.New("%d bytes at %d of %d don't follow the %d bytes of version %d", len(p.Data), p.Offset, p.Size, len(a.data), a.version)
+		err := Error.New("%d bytes at %d of %d don't follow the %d bytes of version %d", len(p.Data), p.Offset, p.Size, len(a.data), a.version)
+		f.arriving = arrivingConfig{}
+		return nil, err
 	}
 	a.data = append(a.data, p.Data...)
 	if len(a.data) < p.Size {
-		return nil
+		return nil, nil
 	}
-	change, err := decodeConfigChange(a.data)
+	complete = a.data
+	f.arriving = arrivingConfig{}
+	return complete, nil
+}
+
+// applyConfigChange applies an encoded change, unless this daemon's configuration is at least as new.
+func (f *follower) applyConfigChange(b []byte) error {
+	change, err := decodeConfigChange(b)
 	if err != nil {
 		return err
 	}
-	f.arriving = arrivingConfig{}
 	own := f.n.Config()
 	if own == nil {
 		own = new(ibisjob.Config)
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -52,13 +52,19 @@
 		for _, p := range take(l.out).ConfigParts {
 			f.handleConfigPart(&p)
 		}
-		for _, a := range take(f.out).ConfigAcks {
+		for _, a := range awaitAcks(f) {
 			l.handleConfigAck(a)
 		}
 	}
 	return true
 }
 
+// awaitAcks returns the acknowledgements of f, of which there will be one.
+func awaitAcks(f *follower) []configAck {
+	<-f.out.wake
+	return take(f.out).ConfigAcks
+}
+
 // take returns what is queued.
 func take(o *outbox) *frame {
 	o.mu.Lock()
@@ -99,6 +105,17 @@
 	assert.Assert(t, serveTestLink(l, f, 8))
 }
 
+// Guards against pongs that are handled too late because the configuration is being decoded.
+func TestConfigurationIsDecodedBesideOtherFrames(t *testing.T) {
+	b, err := encodeConfigChange((&ibisjob.Config{Version: 5}).ChangeSince(nil))
+	assert.NilError(t, err)
+	f := &follower{n: newTestNode(nil), out: newOutbox()}
+	f.n.mu.Lock() // the change can't be applied
+	f.handleConfigPart(&configPart{Version: 5, Size: len(b), Data: b})
+	f.n.mu.Unlock()
+	assert.Equal(t, awaitAcks(f)[0].Own, int64(5))
+}
+
 // Guards against a change that is applied to another version than its base, or not as a whole.
 func TestConfigurationPartsThatDoNotFitAreRefused(t *testing.T) {
 	old := &ibisjob.Config{Version: 4, Queues: []ibisjob.Queue{{Name: "a"}, {Name: "b"}}}
@@ -128,7 +145,11 @@
 			for _, p := range c.parts {
 				f.handleConfigPart(&p)
 			}
-			acks := take(f.out).ConfigAcks
+			var acks []configAck
+			for len(acks) < len(c.parts) {
+				<-f.out.wake
+				acks = append(acks, take(f.out).ConfigAcks...)
+			}
 			assert.Equal(t, len(acks), len(c.parts))
 			assert.Equal(t, acks[len(acks)-1].Refused, c.refused)
 			assert.Equal(t, acks[len(acks)-1].Own, c.version)
