ibisnode: a daemon that refuses what the leader sends reads the configuration for itself

Cause: any part that arrived put off the daemon's own read of the configuration, also one that it could not use. The leader sends a refused change again after each ping, so the daemon would never have read.

Before: TestRefusedPartsDoNotKeepADaemonFromReadingTheTable fails. After: it passes.

--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -261,9 +261,9 @@
 // handleConfigPart adds a part of a change. A complete change is applied by another goroutine: that takes a weak VM so
 // long that pongs would be handled too late.
 func (f *follower) handleConfigPart(p *configPart) {
-	f.n.configPartAt.Store(f.n.clock.Now())
 	complete, err := f.addConfigPart(p)
 	if err == nil && complete == nil {
+		f.n.configPartAt.Store(f.n.clock.Now())
 		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset}}})
 		return
 	}
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -195,3 +195,12 @@
 	}
 	assert.Assert(t, parts <= maxConfigParts, "%d parts are on their way, %d KB", parts, parts*configPartBytes>>10)
 }
+
+// Guards against a daemon that gets no configuration at all: it can't use what the leader sends again and again, and
+// doesn't read the table because something arrives.
+func TestRefusedPartsDoNotKeepADaemonFromReadingTheTable(t *testing.T) {
+	f := &follower{n: newTestNode(&ibisjob.Config{Version: 3}), out: newOutbox()}
+	f.handleConfigPart(&configPart{Version: 5, Size: 1, Data: []byte{0xff}})
+	assert.Assert(t, awaitAcks(f)[0].Refused)
+	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()))
+}
