--- a/ibisjob/configchange.go
+++ b/ibisjob/configchange.go
@@ -18,7 +18,7 @@
 // ListChange turns one list of named items into another one. Items that are in both lists keep their order.
 type ListChange[T any] struct {
 	Items []T      `json:"Items,omitempty"` // new and changed ones
-	At    []int    `json:"At,omitempty"`    // their indices in the new list, ascending; empty: Items is the new list
+	At    []int    `json:"At,omitempty"`    // their indices in the new list, ascending; not set if the old list is empty
 	Gone  []string `json:"Gone,omitempty"`  // names of the items that are only in the old list
 }
 
--- a/ibisnode/ports.go
+++ b/ibisnode/ports.go
@@ -62,8 +62,8 @@
 // Directory reads what operators and backend servers have registered with the platform.
 type Directory interface {
 	// Config returns the newest configuration, or nil when there is none yet. It may return the same pointer
-	// again while the version is unchanged, so that the value must not be modified. A change may have been missed
-	// if it was made less than lag before the call.
+	// again while the version is unchanged, so that the value must not be modified. Changes made within lag before the
+	// call may be missing.
 	Config(ctx context.Context) (cfg *ibisjob.Config, lag time.Duration, err error)
 	// Servers lists all registered backend servers.
 	Servers(ctx context.Context) ([]ibiscell.ServerInfo, error)
