ibishttp: answer requests that cross the closing of an idle connection

What callers saw: while a daemon of `ibiscrank serve` shut down, a submission got no reply and could not tell whether it would run.

Cause: connections that stay idle for 1 s of the shutdown are closed by http.Server.Shutdown, also when a request is on its way on one of them. The submission that failed was made at 09:21:52.605, by the time in its ID. The daemon's connections began to drain at about 51.55 (it handed off its shards and servers from 47.53 on, and its last shards were taken at 51.53), so the second ended when the submission was sent.

Ruled out: a connection that is accepted after the others have drained (the server waits for it), and one in the backlog of the listener (it would be reset; the error was EOF).

Evidence: with http.Server.Shutdown in place of CloseIdle, both new tests fail ("unexpected EOF" for the request that has crossed).

Change: an idle connection is closed after a response with status 408 and the code Draining, as HTTP provides for, and the daemon goes on reading until the client has closed its side. A request that crosses this response is answered by it and never handled. The Go client takes 408 with this code as NotRun for submissions; the body says NotRun false, since the daemon does not know what the request is. Admin calls retry after Draining.

--- a/ibisclient/admin.go
+++ b/ibisclient/admin.go
@@ -230,7 +230,11 @@
 
 // adminRetryable reports whether the reason of a refusal may go away by itself or not apply at another daemon.
 func adminRetryable(c ibiswork.Code) bool {
-	return c == ibiswork.CodeStoreUnavailable || c == ibiswork.CodeOutcomeUnknown || c == ibiswork.CodeUnreachable
+	switch c {
+	case ibiswork.CodeStoreUnavailable, ibiswork.CodeOutcomeUnknown, ibiswork.CodeUnreachable, ibiswork.CodeDraining:
+		return true
+	}
+	return false
 }
 
 // outcomeUnknown returns a refusal without the NotRun guarantee, because the daemon may have acted before the
--- a/ibisclient/caller_test.go
+++ b/ibisclient/caller_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibiswork"
 )
 
@@ -61,6 +62,12 @@
 	}
 }
 
+// notRead replies like a daemon that closes a connection whose request it has not read.
+func notRead(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(ibishttp.StatusNotRead)
+	json.NewEncoder(w).Encode(ibiswork.Refusal{Code: ibiswork.CodeDraining, RetryAfterMS: 100})
+}
+
 func truncatedReply(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "1000")
 	w.Write([]byte("{"))
@@ -102,6 +109,8 @@
 		{"AttemptsUsedUp", steps(refuse(ibiswork.CodeOverloaded, true, 10)), 4, ibiswork.CodeOverloaded, true},
 		{"EarlierAttemptMayHaveRun", steps(truncatedReply, refuse(ibiswork.CodeNeverFits, true, 0)), 2, ibiswork.CodeNeverFits, false},
 		{"OutcomeUnknown", steps(refuse(ibiswork.CodeOutcomeUnknown, false, 0)), 1, ibiswork.CodeOutcomeUnknown, false},
+		{"NotRead", steps(notRead), 4, ibiswork.CodeDraining, true},
+		{"NotReadAfterLostConnection", steps(truncatedReply, notRead), 4, ibiswork.CodeDraining, false},
 		{"StatusOfAnotherRequest", steps(statusOfOtherRequest), 1, ibiswork.CodeInternal, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -126,6 +135,16 @@
 	}
 }
 
+// TestStatusRequestNotRead guards against taking a status request that was not read for a request that did not run.
+func TestStatusRequestNotRead(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(notRead))
+	defer srv.Close()
+	c, _ := newCaller(t, []string{srv.URL}, WithAttempts(1))
+	_, err := c.Status(t.Context(), ibiswork.NewID(), 0)
+	assert.Equal(t, ibiswork.AsRefusal(err).Code, ibiswork.CodeDraining)
+	assert.Assert(t, !ibiswork.AsRefusal(err).NotRun)
+}
+
 func TestDelaysHonourRetryAfter(t *testing.T) {
 	daemon := &scriptedDaemon{steps: []http.HandlerFunc{refuse(ibiswork.CodeOverLimit, true, 8000), ended}}
 	srv := httptest.NewServer(daemon)
--- a/ibisclient/retry.go
+++ b/ibisclient/retry.go
@@ -12,6 +12,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"ibiscrank/ibishttp"
 	"ibiscrank/ibiswork"
 )
 
@@ -162,7 +163,11 @@
 		return ibiswork.Status{}, transportRefusal(err)
 	}
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusAccepted {
-		return ibiswork.Status{}, decodeRefusal(b, resp.Status)
+		refusal := decodeRefusal(b, resp.Status)
+		if op.request != nil && resp.StatusCode == ibishttp.StatusNotRead && refusal.Code == ibiswork.CodeDraining {
+			refusal.NotRun = true
+		}
+		return ibiswork.Status{}, refusal
 	}
 	return decodeStatus(b, op.id)
 }
--- a/ibisdaemon/frontend.go
+++ b/ibisdaemon/frontend.go
@@ -125,12 +125,17 @@
 }
 
 // drainConnections lets each open connection carry one more request, whose response announces that the
-// connection closes, and waits until all are closed.
+// connection closes. It closes those that stay idle, and waits until all are closed.
 func (f *frontend) drainConnections(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, idleDrainTimeout)
+	idleCtx, cancel := context.WithTimeout(ctx, idleDrainTimeout)
 	defer cancel()
-	if err := f.conns.Shutdown(ctx); err != nil {
-		log.WithField("error", err).Info("IdleConnectionsClosed")
+	err := f.conns.Shutdown(idleCtx)
+	if err == nil {
+		return
+	}
+	log.WithField("error", err).Info("IdleConnectionsClosed")
+	if err := f.conns.CloseIdle(ctx, ibisgate.NotReadBody()); err != nil {
+		log.WithField("error", err).Info("ConnectionsLeftOpen")
 	}
 }
 
--- a/ibisgate/reply.go
+++ b/ibisgate/reply.go
@@ -94,6 +94,17 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// NotReadBody returns the body of the reply on connections that a daemon closes without having read a request.
+// Its NotRun is false because the daemon doesn't know whether the request was a submission.
+func NotReadBody() []byte {
+	b, err := json.Marshal(Problem{Refusal: *ibiswork.Refuse(ibiswork.CodeDraining,
+		"this daemon is shutting down and has not read the request").WithMaybeRun().WithRetryAfter(drainingRetryAfter)})
+	if err != nil {
+		panic(err) // the type has no field that cannot be encoded
+	}
+	return b
+}
+
 // withoutNotRun returns p with NotRun cleared unless r is a submission: a refused status request or
 // cancellation does not tell whether the work was run.
 func withoutNotRun(r *http.Request, p Problem) Problem {
--- a/ibisharness/caller.go
+++ b/ibisharness/caller.go
@@ -153,6 +153,9 @@
 	if err == nil {
 		s.Status, s.Refusal, s.Err = decodeReply(reply)
 	}
+	if s.Refusal != nil && s.Refusal.Code == ibiswork.CodeDraining && reply.Status == ibishttp.StatusNotRead {
+		s.Refusal.NotRun = true
+	}
 	c.cluster.Trace.addSubmission(s)
 	if s.Ended() {
 		c.cluster.Trace.recordFinal(*s.Status)
--- a/ibishttp/drain_test.go
+++ b/ibishttp/drain_test.go
@@ -1,8 +1,11 @@
 package ibishttp
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,3 +107,138 @@
 	assert.NilError(t, s.Shutdown(t.Context()))
 	assert.Assert(t, errors.Is(<-served, http.ErrServerClosed))
 }
+
+// closeIdleTimeout ends a CloseIdle that hangs.
+const closeIdleTimeout = 10 * time.Second
+
+// notReadBody is the body of the responses on idle connections in these tests.
+const notReadBody = `{"Code":"Draining"}`
+
+// TestCloseIdleAnswersRequestThatIsOnItsWay guards against idle connections that are closed while a request is on
+// its way: the request must get a response which says that it was not read, and must not be handled.
+func TestCloseIdleAnswersRequestThatIsOnItsWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var handled atomic.Int64
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })}
+	var drain Drain
+	drain.Attach(s)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	c := dialRaw(t, l.Addr().String())
+	resp, err := c.roundTrip("1")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, drain.Shutdown(expired), context.Canceled)
+	ctx, cancel := context.WithTimeout(t.Context(), closeIdleTimeout)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- drain.CloseIdle(ctx, []byte(notReadBody)) }()
+	// The client sends its request without reading first, as if it had crossed the response.
+	_, err = c.r.Peek(1)
+	assert.NilError(t, err)
+	resp, err = c.roundTrip("2")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, StatusNotRead)
+	assert.Assert(t, resp.Close)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), notReadBody)
+	assert.NilError(t, <-closed)
+	assert.NilError(t, s.Shutdown(t.Context()))
+	assert.Assert(t, errors.Is(<-served, http.ErrServerClosed))
+	assert.Equal(t, handled.Load(), int64(1))
+}
+
+// TestCloseIdleUnderLoad guards against requests that race with CloseIdle and get no response, or are handled
+// although their response says that they were not read.
+func TestCloseIdleUnderLoad(t *testing.T) {
+	const (
+		clients = 32
+		rounds  = 20
+	)
+	for range rounds {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		var handled sync.Map
+		s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+			}
+			handled.Store(r.URL.Path[1:], true)
+		})}
+		var (
+			drain Drain
+			wg    sync.WaitGroup
+			ready sync.WaitGroup
+		)
+		drain.Attach(s)
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		for i := range clients {
+			c := dialRaw(t, l.Addr().String())
+			ready.Add(1)
+			wg.Go(func() {
+				for n := 0; ; n++ {
+					id := fmt.Sprintf("%d-%d", i, n)
+					resp, err := c.roundTrip(id)
+					if n == 0 {
+						ready.Done()
+					}
+					if err != nil {
+						t.Errorf("request %s: %v", id, err)
+						return
+					}
+					_, ran := handled.Load(id)
+					if notRead := resp.StatusCode == StatusNotRead; notRead == ran {
+						t.Errorf("request %s: status %d, handled: %t", id, resp.StatusCode, ran)
+					}
+					if resp.Close {
+						return
+					}
+				}
+			})
+		}
+		ready.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), closeIdleTimeout)
+		assert.NilError(t, drain.CloseIdle(ctx, []byte(notReadBody)))
+		cancel()
+		wg.Wait()
+		assert.NilError(t, s.Shutdown(t.Context()))
+		assert.Assert(t, errors.Is(<-served, http.ErrServerClosed))
+	}
+}
+
+// rawClient sends requests on one connection and reads a response for each.
+type rawClient struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func dialRaw(t *testing.T, address string) *rawClient {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return &rawClient{c, bufio.NewReader(c)}
+}
+
+// roundTrip sends a request whose path is the ID. A response that closes the connection closes it here too.
+func (c *rawClient) roundTrip(id string) (*http.Response, error) {
+	if _, err := fmt.Fprintf(c.conn, "POST /%s HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}", id); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return nil, err
+	}
+	b, err := io.ReadAll(resp.Body)
+	resp.Body = io.NopCloser(bytes.NewReader(b))
+	if resp.Close {
+		return resp, errors.Join(err, c.conn.Close())
+	}
+	return resp, err
+}
