ibisnode: a daemon that refuses a large change reads the configuration for itself

Of a larger one that is refused with its last part, the earlier parts count as arriving; they come again after each ping, so that configArriving stays true and a daemon that doesn't have what the leader takes for its base never reads the table.

Evidence: TestRefusedLargeChangeDoesNotKeepADaemonFromReadingTheTable fails before ("after the refusal") and passes now.

Why it works: parts of a version that was refused, or of an earlier one, no longer count. Price: a daemon that refused a change because it had read a newer base itself may read the table once more before it has the version.

--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -263,7 +263,9 @@
 func (f *follower) handleConfigPart(p *configPart) {
 	complete, err := f.addConfigPart(p)
 	if err == nil && complete == nil {
-		f.n.configPartAt.Store(f.n.clock.Now())
+		if p.Version > f.n.refusedConfig.Load() { // what was refused may come, and be refused, for ever
+			f.n.configPartAt.Store(f.n.clock.Now())
+		}
 		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset}}})
 		return
 	}
@@ -273,6 +275,8 @@
 		}
 		if err != nil {
 			f.n.log.WithField("Version", p.Version).WithError(err).Warn("ConfigPartDropped")
+			f.n.refusedConfig.Store(max(f.n.refusedConfig.Load(), p.Version))
+			f.n.configPartAt.Store(0)
 		}
 		_, own := f.n.configStatus()
 		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -204,3 +204,22 @@
 	assert.Assert(t, awaitAcks(f)[0].Refused)
 	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()))
 }
+
+// Guards against a daemon that gets no configuration at all, as above, when the change that it can't use is large: its
+// first parts arrive again and again.
+func TestRefusedLargeChangeDoesNotKeepADaemonFromReadingTheTable(t *testing.T) {
+	f := &follower{n: newTestNode(&ibisjob.Config{Version: 3}), out: newOutbox()}
+	parts := []configPart{{Version: 5, Size: 2, Data: []byte{0xff}}, {Version: 5, Offset: 1, Size: 2, Data: []byte{0xff}}}
+	f.handleConfigPart(&parts[0])
+	awaitAcks(f)
+	assert.Assert(t, f.n.configArriving(f.n.clock.Now()))
+	f.handleConfigPart(&parts[1])
+	assert.Assert(t, awaitAcks(f)[0].Refused)
+	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()), "after the refusal")
+	f.handleConfigPart(&parts[0])
+	awaitAcks(f)
+	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()), "when the change that was refused is sent again")
+	f.handleConfigPart(&configPart{Version: 6, Size: 2, Data: []byte{0xff}})
+	awaitAcks(f)
+	assert.Assert(t, f.n.configArriving(f.n.clock.Now()), "when a later one is sent")
+}
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -104,7 +104,8 @@
 	steppedDownAt    ibiscell.Time // when this daemon last gave up leadership
 	recoveringSeenAt ibiscell.Time // when a leader last said that it reads the journal; 0: never
 
-	configPartAt atomic.Int64 // when the last part of a configuration arrived, on the node's clock; 0: never
+	configPartAt  atomic.Int64 // when the last part of a configuration arrived, on the node's clock; 0: never
+	refusedConfig atomic.Int64 // newest version of which this daemon couldn't use a change
 
 	recovering atomic.Bool  // this daemon has acquired leadership and reads the journal
 	slowReadAt atomic.Int64 // when a read of the table was last slow, on the node's clock; 0: never
