ibisnode: an acknowledgement isn't dropped for a late one

Cause: a link keeps one acknowledgement that nobody has read.

Evidence: TestLateAcknowledgementDoesNotDisplaceTheNextOne fails before ("the acknowledgement of the part was dropped") and passes now.

Why it works: each attempt leaves at most one late acknowledgement, eight are kept, and what doesn't belong to the part is skipped.

--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -32,6 +32,9 @@
 	// configPartGap is the time without a part after which a daemon no longer waits for the rest of a configuration
 	// before it reads it for itself.
 	configPartGap = 700 * time.Millisecond
+	// maxConfigAcks bounds the acknowledgements that wait to be handled. Late ones of a part that was given up may come
+	// together with the one that is waited for.
+	maxConfigAcks = 8
 	configHistory = 4 // number of earlier versions from which changes can be computed
 )
 
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -223,3 +223,20 @@
 	awaitAcks(f)
 	assert.Assert(t, f.n.configArriving(f.n.clock.Now()), "when a later one is sent")
 }
+
+// Guards against a transfer that stops for configAckTimeout and begins again because the acknowledgement it waits for
+// arrives together with one that is too late.
+func TestLateAcknowledgementDoesNotDisplaceTheNextOne(t *testing.T) {
+	term := newTestTerm(largeConfig(7))
+	l := newTestLink(t, fixedClock{}.Now())
+	sent := make(chan bool)
+	l.handleConfigAck(configAck{Version: 7, Offset: 2 * configPartBytes}) // of an attempt that was given up
+	l.handleConfigAck(configAck{Version: 7})
+	go func() { sent <- term.sendConfigPart(l, configPart{Version: 7, Size: 1 << 20}) }()
+	select {
+	case ok := <-sent:
+		assert.Assert(t, ok)
+	case <-time.After(configAckTimeout / 2):
+		t.Fatal("the acknowledgement of the part was dropped")
+	}
+}
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -50,7 +50,7 @@
 }
 
 func newLink(m member) *link {
-	return &link{member: m, out: newOutbox(), done: make(chan struct{}), configAcks: make(chan configAck, 1), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
+	return &link{member: m, out: newOutbox(), done: make(chan struct{}), configAcks: make(chan configAck, maxConfigAcks), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
 }
 
 // serveLink serves a link that another daemon has opened. A daemon that doesn't lead, or leads with a lower epoch
