Failing test: followers read the whole configuration while the scout reads it

As TestDaemonsDoNotReadWhatTheirLeaderIsReading, with a scout: the leader leaves its reads to it, so that a scout on 10 Mbit/s delays everybody's confirmation although the leader's own link is fast.

--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -70,3 +70,25 @@
 	time.Sleep(12 * time.Second)
 	assert.Equal(t, reads(), before, "whole reads by daemons that have a leader")
 }
+
+// Guards against daemons that all read the whole configuration, every five seconds, because the scout of their leader
+// takes long to read it again, and the leader leaves its own reads to the scout.
+func TestDaemonsDoNotReadWhatTheScoutIsReading(t *testing.T) {
+	g := newGroupOf(t, 30, 10, 1, 1, 1, 1, 1)
+	scout := g.awaitScout()
+	g.table.setConfigTime(time.Second)
+	g.table.setConfig(newConfig(2, 1))
+	g.awaitConfig(2, g.members...)
+	time.Sleep(2 * time.Second)
+	reads := func() (total int) {
+		for _, m := range g.others(scout) {
+			m.table.configMu.Lock()
+			total += m.table.configReads
+			m.table.configMu.Unlock()
+		}
+		return total
+	}
+	before := reads()
+	time.Sleep(12 * time.Second)
+	assert.Equal(t, reads(), before, "whole reads by daemons that leave them to the scout")
+}
