--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -32,6 +32,9 @@
 	// configPartGap is the time without a part after which a daemon no longer waits for the rest of a configuration
 	// before it reads it for itself.
 	configPartGap = 700 * time.Millisecond
+	// maxConfigAcks bounds the acknowledgements that wait to be handled. Late ones of a part that was given up may come
+	// together with the one that is waited for.
+	maxConfigAcks = 8
 	configHistory = 4 // number of earlier versions from which changes can be computed
 )
 
@@ -263,7 +266,9 @@
 func (f *follower) handleConfigPart(p *configPart) {
 	complete, err := f.addConfigPart(p)
 	if err == nil && complete == nil {
-		f.n.configPartAt.Store(f.n.clock.Now())
+		if p.Version > f.n.refusedConfig.Load() { // what was refused may come, and be refused, for ever
+			f.n.configPartAt.Store(f.n.clock.Now())
+		}
 		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset}}})
 		return
 	}
@@ -273,6 +278,8 @@
 		}
 		if err != nil {
 			f.n.log.WithField("Version", p.Version).WithError(err).Warn("ConfigPartDropped")
+			f.n.refusedConfig.Store(max(f.n.refusedConfig.Load(), p.Version))
+			f.n.configPartAt.Store(0)
 		}
 		_, own := f.n.configStatus()
 		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
