ibiscell: a run that fails counts as an attempt once, however late its end is reported

Seen by callers. And a gang of which several members failed in one run had used up as many attempts, so that its job was shown as failed after a single run.

So an end that comes late could not be told from one that has been counted and whose acknowledgement was lost, and counted late ends as done only, which can be processed twice without harm.

Only ends as failed are attempts: a run that lapsed, was lost with its server or was stopped is none. If its end as failed is reported later, it is an attempt from then on.

Why it works. It is written before the end is acknowledged, as any other change. When a late end uses up the attempts, a run that has started continues, since it may be done: its end decides, and none follows. One not known to have started is not started, or stopped, and the job fails.

--- a/ibiscell/candidate.go
+++ b/ibiscell/candidate.go
@@ -140,7 +140,7 @@
 	if e.teamSlots(st) == 0 {
 		return nil
 	}
-	lastAttempt := q.MaxAttempts > 0 && !st.spec.LongRunning && t.failures >= q.MaxAttempts-cautiousAttemptsLeft
+	lastAttempt := q.MaxAttempts > 0 && !st.spec.LongRunning && len(t.failed) >= q.MaxAttempts-cautiousAttemptsLeft
 	var best *candidate
 	bestScore := math.Inf(1)
 	for n := range list {
--- a/ibiscell/changes.go
+++ b/ibiscell/changes.go
@@ -1,6 +1,12 @@
 package ibiscell
 
-import "ibiscrank/ibisjob"
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ibiscrank/ibisjob"
+)
 
 // changeRow is the value of a row of TableChanges. The rows are applied in the order of their keys.
 type changeRow struct {
@@ -36,11 +42,11 @@
 
 // stepChange records what has changed in one step.
 type stepChange struct {
-	_        struct{} `cbor:",toarray"`
-	N        int
-	Failures int
-	Done     bool // all tasks are done
-	Tasks    []taskChange
+	_      struct{} `cbor:",toarray"`
+	N      int
+	Failed failedRuns // of a gang
+	Done   bool       // all tasks are done
+	Tasks  []taskChange
 }
 
 // taskChange is the present state of a task.
@@ -57,7 +63,7 @@
 	Done       bool
 	Run        int64
 	Server     int
-	Fails      int
+	Failed     failedRuns
 	Checkpoint string
 }
 
@@ -82,18 +88,53 @@
 	done       bool
 	run        int64
 	server     ServerRef // of the current run; no ID without one
-	failures   int
+	failed     failedRuns
 	checkpoint string
 }
 
+func (s taskState) equal(o taskState) bool {
+	return s.done == o.done && s.run == o.run && s.server == o.server && s.checkpoint == o.checkpoint && slices.Equal(s.failed, o.failed)
+}
+
 // stepState is the journalled part of a step's state, its tasks left out.
 type stepState struct {
-	failures int
-	done     bool
+	failed failedRuns
+	done   bool
+}
+
+func (s stepState) equal(o stepState) bool {
+	return s.done == o.done && slices.Equal(s.failed, o.failed)
+}
+
+// failedRuns holds the numbers of the runs of a task, or of a gang, that have ended as failed, so that each counts once
+// however often and however late its end is reported. It only grows, by appending, so copies may share it.
+type failedRuns []int64
+
+// maxFailedRuns bounds a list of failed runs where the queue sets no limit.
+const maxFailedRuns = 64
+
+var noFailedRuns = encode(0)
+
+// MarshalCBOR encodes an empty list as 0, as earlier versions did.
+func (f failedRuns) MarshalCBOR() ([]byte, error) {
+	if len(f) == 0 {
+		return noFailedRuns, nil
+	}
+	return cbor.Marshal([]int64(f))
+}
+
+// UnmarshalCBOR also reads the number of failed runs, which is all that earlier versions wrote.
+func (f *failedRuns) UnmarshalCBOR(b []byte) error {
+	var count int
+	if cbor.Unmarshal(b, &count) == nil {
+		*f = make(failedRuns, min(max(count, 0), maxFailedRuns)) // no run has number 0
+		return nil
+	}
+	return cbor.Unmarshal(b, (*[]int64)(f))
 }
 
 func (t *task) state() taskState {
-	s := taskState{done: t.done, run: t.lastRun, failures: t.failures, checkpoint: t.checkpoint}
+	s := taskState{done: t.done, run: t.lastRun, failed: t.failed, checkpoint: t.checkpoint}
 	if t.done {
 		s.checkpoint = "" // no run needs it any more
 	}
@@ -103,13 +144,14 @@
 	return s
 }
 
-func (st *step) state() stepState { return stepState{failures: st.failures, done: st.unfinished == 0} }
+func (st *step) state() stepState { return stepState{failed: st.failed, done: st.unfinished == 0} }
 
 const (
 	maxChangeRowBytes = 45_000 // estimated size of a row; the platform accepts 64 KiB
 	jobChangeBytes    = 40     // estimated size of a jobChange, jobs and occurrences left out
 	stepChangeBytes   = 24     // estimated size of a stepChange without tasks, or of an occurrenceChange
 	taskChangeBytes   = 20     // estimated size of a taskChange without its checkpoint
+	failedRunBytes    = 3      // estimated size of the number of a failed run
 	serverRefBytes    = 14     // estimated size of a ServerRef without its ID
 )
 
@@ -157,7 +199,7 @@
 	if whole {
 		st.saved = stepState{}
 	}
-	if state != st.saved {
+	if !state.equal(st.saved) {
 		w.step(st)
 		st.saved = state
 	}
@@ -168,7 +210,7 @@
 		if whole {
 			t.saved = taskState{}
 		}
-		if s := t.state(); s != t.saved {
+		if s := t.state(); !s.equal(t.saved) {
 			w.addTask(st, t.index, s)
 			t.saved = s
 		}
@@ -177,14 +219,15 @@
 
 func (w *changeWriter) addTask(st *step, index int, s taskState) {
 	// Reserves the space first: the server's index is valid in this row only.
-	w.beginChange(2*stepChangeBytes + taskChangeBytes + len(s.checkpoint) + serverRefBytes + len(s.server.ID))
+	size := taskChangeBytes + len(s.checkpoint) + failedRunBytes*len(s.failed)
+	w.beginChange(2*stepChangeBytes + size + serverRefBytes + len(s.server.ID))
 	c := w.step(st)
-	rec := TaskRec{Done: s.done, Run: s.run, Fails: s.failures, Checkpoint: s.checkpoint}
+	rec := TaskRec{Done: s.done, Run: s.run, Failed: s.failed, Checkpoint: s.checkpoint}
 	if s.server.ID != "" {
 		rec.Server = w.serverIndex(s.server)
 	}
 	c.Tasks = append(c.Tasks, taskChange{N: index, State: rec})
-	w.grow(taskChangeBytes + len(s.checkpoint))
+	w.grow(size)
 }
 
 // serverIndex returns the index of a server in the list of the last row, from 1.
@@ -235,8 +278,8 @@
 		return &c.Steps[last]
 	}
 	s := st.state()
-	c.Steps = append(c.Steps, stepChange{N: st.n, Failures: s.failures, Done: s.done})
-	w.grow(stepChangeBytes)
+	c.Steps = append(c.Steps, stepChange{N: st.n, Failed: s.failed, Done: s.done})
+	w.grow(stepChangeBytes + failedRunBytes*len(s.failed))
 	return &c.Steps[len(c.Steps)-1]
 }
 
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -1,6 +1,7 @@
 package ibiscell
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -53,8 +54,8 @@
 	open        bool
 	openAt      Time
 	adviceCache adviceCache
-	failures    int  // failed runs of the whole gang
-	notBefore   Time // earliest time of the next placement
+	failed      failedRuns // of the whole gang
+	notBefore   Time       // earliest time of the next placement
 
 	remaining int64 // estimated length of the longest chain of steps that begins here; 0 until it is computed
 	saved     stepState
@@ -65,9 +66,9 @@
 	step       *step
 	index      int
 	done       bool
-	run        *run  // current run, or nil
-	lastRun    int64 // number of the last run
-	failures   int
+	run        *run       // current run, or nil
+	lastRun    int64      // number of the last run
+	failed     failedRuns // unless it belongs to a gang
 	checkpoint string
 	failedOn   string // ID of the server on which its last failed run was
 	saved      taskState
@@ -169,10 +170,13 @@
 		st.notBefore = e.now + longRunningRestartMS
 	case outcome == RunDone:
 		e.taskDone(t)
-	case outcome == RunFailed:
-		t.failures++
-		t.failedOn = r.server.info.ID
-		e.checkAttempts(j, t.failures)
+	default:
+		if outcome == RunFailed {
+			e.countFailure(t, r.name.Run, r.server)
+		}
+		if e.attemptsUsed(t) { // also by the late end of an earlier run
+			e.finish(j, ibisjob.Failed)
+		}
 	}
 }
 
@@ -188,11 +192,11 @@
 		return
 	}
 	if outcome == RunFailed {
-		st.failures++
-		r.task.failedOn = r.server.info.ID
-		if e.checkAttempts(st.occ.job, st.failures) {
-			return
-		}
+		e.countFailure(r.task, r.name.Run, r.server)
+	}
+	if e.attemptsUsed(r.task) {
+		e.finish(st.occ.job, ibisjob.Failed)
+		return
 	}
 	for _, t := range st.tasks {
 		if t.run != nil && t.run.name.Run == r.name.Run {
@@ -202,24 +206,41 @@
 }
 
 // endUntracked processes the end of a run that the engine has given up, for example because its leases had lapsed
-// before the server answered again, and reports whether it has changed the job. If the run was done, so is its task: the
-// server forgets the end once it is acknowledged, so nobody else would learn of it. A later run is stopped.
-func (e *Engine) endUntracked(end RunEnd) bool {
+// before the server answered again, and reports whether it has changed the job. The server forgets the end once it is
+// acknowledged, so nobody else would learn of it.
+func (e *Engine) endUntracked(s *server, end RunEnd) bool {
 	t := e.findTask(end.Name.Task)
-	if end.Outcome != RunDone || t == nil || t.done || end.Name.Run > t.lastRun {
+	if t == nil || t.done || end.Name.Run > t.lastRun {
 		return false
 	}
-	st := t.step
-	j := st.occ.job
-	if st.spec.LongRunning || j.state.Final() {
+	j := t.step.occ.job
+	if t.step.spec.LongRunning || j.state.Final() {
+		return false
+	}
+	switch end.Outcome {
+	case RunDone:
+		e.lateDone(t)
+	case RunFailed:
+		if !e.countFailure(t, end.Name.Run, s) {
+			return false
+		}
+		e.lateFailure(t)
+	default:
 		return false
 	}
-	j.log(e).WithFields(log.Fields{"Task": end.Name.Task, "Run": end.Name.Run, "LastRun": t.lastRun}).Info("LateEndCounted")
+	j.log(e).WithFields(log.Fields{
+		"Task": end.Name.Task, "Run": end.Name.Run, "How": string(end.Outcome), "LastRun": t.lastRun, "State": string(j.state),
+	}).Info("LateEndCounted")
+	return true
+}
+
+// lateDone marks t as done, or its gang, since one member that is done stands for all. Later runs are stopped.
+func (e *Engine) lateDone(t *task) {
 	done := []*task{t}
-	if st.spec.Gang { // one member that is done stands for all
-		done = st.tasks
+	if t.step.spec.Gang {
+		done = t.step.tasks
 	}
-	e.markDirty(j, nil)
+	e.markDirty(t.step.occ.job, nil)
 	for _, t := range done {
 		if !t.done {
 			e.taskDone(t)
@@ -230,7 +251,36 @@
 			e.stopRun(t.run)
 		}
 	}
-	return true
+}
+
+// lateFailure fails the job of t if the late end of a failed run, which has been counted, was the last one that its queue
+// allows. A later run that has started may still be done, so it continues; it is not followed by another.
+func (e *Engine) lateFailure(t *task) {
+	e.markDirty(t.step.occ.job, nil)
+	if e.attemptsUsed(t) && !t.running() {
+		e.finish(t.step.occ.job, ibisjob.Failed)
+	}
+}
+
+// running reports whether t, or its gang, has a run for which no start order is due any more.
+func (t *task) running() bool {
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	found := false
+	for _, m := range members {
+		if m.run == nil {
+			continue
+		}
+		switch m.run.state {
+		case runRunning, runStopping, runRecovered:
+			found = true
+		default:
+			return false
+		}
+	}
+	return found
 }
 
 // findTask returns the task with the given name, or nil if its occurrence is not in progress.
@@ -288,17 +338,32 @@
 	}
 }
 
-// checkAttempts fails the job when a task or a gang has failed as often as its queue allows, and reports
-// whether it did.
-func (e *Engine) checkAttempts(j *job, failures int) bool {
-	q := e.queues[j.spec.Queue]
-	if q.MaxAttempts == 0 || failures < q.MaxAttempts {
+// countFailure counts a run of t on s that has ended as failed, unless it has been counted before, and reports whether it
+// did. A run of a gang counts once, however many of its members have failed.
+func (e *Engine) countFailure(t *task, run int64, s *server) bool {
+	failed := t.failedRuns()
+	if slices.Contains(*failed, run) || len(*failed) >= max(maxFailedRuns, e.queues[t.step.occ.job.spec.Queue].MaxAttempts) {
 		return false
 	}
-	e.finish(j, ibisjob.Failed)
+	*failed = append(*failed, run)
+	t.failedOn = s.info.ID
 	return true
 }
 
+// failedRuns returns the failed runs of t, or of its gang.
+func (t *task) failedRuns() *failedRuns {
+	if t.step.spec.Gang {
+		return &t.step.failed
+	}
+	return &t.failed
+}
+
+// attemptsUsed reports whether t, or its gang, has failed as often as its queue allows. It must not start again.
+func (e *Engine) attemptsUsed(t *task) bool {
+	q := e.queues[t.step.occ.job.spec.Queue]
+	return q.MaxAttempts > 0 && len(*t.failedRuns()) >= q.MaxAttempts
+}
+
 // finish moves j to a final state, which is reported once it is committed, and stops its remaining runs.
 func (e *Engine) finish(j *job, state ibisjob.State) {
 	j.state = state
--- a/ibiscell/outdated.go
+++ b/ibiscell/outdated.go
@@ -25,10 +25,10 @@
 
 	// StepRec is the journal record of one step. Tasks is empty if the step is done or not open yet.
 	StepRec struct {
-		_     struct{} `cbor:",toarray"`
-		Fails int
-		Done  bool
-		Tasks []TaskRec
+		_      struct{} `cbor:",toarray"`
+		Failed failedRuns
+		Done   bool
+		Tasks  []TaskRec
 	}
 )
 
@@ -97,7 +97,7 @@
 		steps := make(map[int]*stepRecord)
 		rec.occurrences[occ.N] = steps
 		for n, s := range occ.Steps {
-			st := &stepRecord{state: stepState{failures: s.Fails, done: s.Done}, tasks: make(map[int]taskState)}
+			st := &stepRecord{state: stepState{failed: s.Failed, done: s.Done}, tasks: make(map[int]taskState)}
 			for k := range s.Tasks {
 				st.tasks[k] = s.Tasks[k].decode(p.Servers)
 			}
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -122,7 +122,7 @@
 				st = &stepRecord{tasks: make(map[int]taskState)}
 				steps[sc.N] = st
 			}
-			st.state = stepState{failures: sc.Failures, done: sc.Done}
+			st.state = stepState{failed: sc.Failed, done: sc.Done}
 			for _, tc := range sc.Tasks {
 				st.tasks[tc.N] = tc.State.decode(servers)
 			}
@@ -133,7 +133,7 @@
 
 // decode returns the state that r records, given the servers of its row.
 func (r *TaskRec) decode(servers []ServerRef) taskState {
-	s := taskState{done: r.Done, run: r.Run, failures: r.Fails, checkpoint: r.Checkpoint}
+	s := taskState{done: r.Done, run: r.Run, failed: r.Failed, checkpoint: r.Checkpoint}
 	if r.Server >= 1 && r.Server <= len(servers) {
 		s.server = ServerRef{ID: servers[r.Server-1].ID, Incarnation: servers[r.Server-1].Incarnation}
 	}
@@ -189,7 +189,7 @@
 }
 
 func (e *Engine) recoverStep(st *step, rec *stepRecord) {
-	st.failures, st.saved = rec.state.failures, rec.state
+	st.failed, st.saved = rec.state.failed, rec.state
 	if rec.state.done {
 		st.unfinished = 0
 		for _, t := range st.tasks {
@@ -203,7 +203,7 @@
 			continue
 		}
 		t.saved = s
-		t.done, t.lastRun, t.failures, t.checkpoint = s.done, s.run, s.failures, s.checkpoint
+		t.done, t.lastRun, t.failed, t.checkpoint = s.done, s.run, s.failed, s.checkpoint
 		if t.done {
 			st.unfinished--
 			continue
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -286,7 +286,7 @@
 		if r := s.runs[end.Name]; r != nil {
 			e.endRun(r, end.Outcome, end.Checkpoint)
 			change = e.journal.lastChange
-		} else if e.endUntracked(end) {
+		} else if e.endUntracked(s, end) {
 			change = e.journal.lastChange
 		}
 		s.unacked = append(s.unacked, uncommittedEnd{n: end.N, change: change})
