ibiscell: a forgotten job does not come back after several leaders within ten minutes

A row of ended jobs must stay as long as a row of Changes may name them, since a new leader would take them for unfinished. purgeEnded compared the ends with the age of the oldest row, but a new leader does not know when a row that it has read was written, and took the time at which it read it. With leaders that follow each other within five minutes (after that a row is written again), a row kept by a job that runs on outlives the ends of the others that it names.

After: passes 20 times.

Why it works. A row was certainly written after the jobs described in it and in the rows before it had been accepted; that time, less the skew of two clocks, is a lower bound for a row that has been read. Ends are kept up to five minutes longer after a change of leader; the test also sees them go in the end.

--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -50,6 +50,7 @@
 	maxChangeRowAgeMS = 300_000 // milliseconds after which a row is rewritten, within endedRetentionMS
 	maxRewriteBytes   = 30_000  // of rewritten changes in one batch
 	maxEndedInRow     = 400     // ended jobs in a row of Ended
+	clockSkewMS       = 10_000  // by which the clocks of two leaders may differ, twice what the platform allows
 	endedRetentionMS  = 600_000 // the platform requires that the end of a job can be queried for at least 120 s
 	purgeIntervalMS   = 5_000
 	commitWeight      = 0.3 // of one commit in the moving average of their times
@@ -67,6 +68,7 @@
 	table string
 	key   string
 	atMS  int64  // Unix time at which it was written or recovered
+	since int64  // Unix time before which it was not written
 	jobs  []*job // whose changes it contains
 	live  int    // number of jobs that still depend on it
 }
@@ -106,7 +108,7 @@
 	e.journal.nextPurge = e.now + purgeIntervalMS
 	before := e.unixOffset + e.now - endedRetentionMS
 	if r := e.journal.oldest(); r != nil {
-		before = min(before, r.atMS)
+		before = min(before, r.since)
 	}
 	rows := e.journal.endedRows
 	n := 0
@@ -213,7 +215,8 @@
 	for n := range w.rows {
 		e.journal.writtenRows++
 		ref := &changeRowRef{
-			table: TableChanges, key: fmt.Sprintf("%010d-%010d", e.settings.Epoch, e.journal.writtenRows), atMS: e.unixOffset + e.now,
+			table: TableChanges, key: fmt.Sprintf("%010d-%010d", e.settings.Epoch, e.journal.writtenRows),
+			atMS: e.unixOffset + e.now, since: e.unixOffset + e.now,
 		}
 		for _, j := range w.jobs[n] {
 			ref.add(j)
--- a/ibiscell/journal_test.go
+++ b/ibiscell/journal_test.go
@@ -87,6 +87,33 @@
 	assert.Equal(t, len(w.starts), 4)
 }
 
+// Guards against TWICE: a job that has ended and been forgotten runs again, since a row that names it outlives its end. The
+// row is kept by a job that runs on, and looks young to each of several leaders that follow each other.
+func TestForgottenJobDoesNotComeBackAfterSeveralLeaders(t *testing.T) {
+	w := newWorld(t, 4)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "10000000", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(100, 10)})})
+	w.submit(2, ibisjob.Job{ID: jobID(2), Queue: "bulk", Spec: "100", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(100, 10)})})
+	w.run(500)
+	assert.Equal(t, w.state(jobID(2)), ibisjob.Completed)
+	lead := func(seconds int) {
+		for range seconds {
+			w.run(1000)
+			w.e.WriteConfirmed(w.now) // the leader's heartbeat
+		}
+	}
+	for range 10 {
+		lead(100)
+		w.newLeader()
+	}
+	w.run(2000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Active)
+	assert.Equal(t, len(w.starts), 4)
+	lead(400) // long enough for the row to be written again
+	assert.Equal(t, w.state(jobID(2)), ibisjob.State(""), "the job has not been forgotten")
+	assert.Equal(t, len(w.table[ibiscell.TableEnded]), 0)
+}
+
 // TestRowsOfAnEarlierVersionAreReplaced recovers jobs from tables in which each job has one row for itself and one
 // for its progress.
 func TestRowsOfAnEarlierVersionAreReplaced(t *testing.T) {
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -63,6 +63,8 @@
 func (e *Engine) readChanges(rows []Row, records map[ibisjob.ID]*jobRecord) {
 	rows = slices.Clone(rows)
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	// A row was written after the jobs in the rows before it had been accepted.
+	since := int64(0)
 	incomplete := make(map[ibisjob.ID]Row) // jobs of which only later changes have been read
 	for _, row := range rows {
 		var changes changeRow
@@ -70,7 +72,12 @@
 			e.logUnreadable(row, err)
 			continue
 		}
-		ref := &changeRowRef{table: row.Table, key: row.Key, atMS: e.unixOffset + e.now}
+		for n := range changes.Jobs {
+			if j := changes.Jobs[n].Job; j != nil {
+				since = max(since, j.AcceptedMS-clockSkewMS)
+			}
+		}
+		ref := &changeRowRef{table: row.Table, key: row.Key, atMS: e.unixOffset + e.now, since: since}
 		e.journal.track(ref)
 		for n := range changes.Jobs {
 			c := &changes.Jobs[n]
