ibiscell: a run whose end a full report leaves out is not taken for lost

A server lists at most 500 ends at a time, and the others once these are acknowledged. reconcileRuns took a run that is neither running nor among the listed ends for lost.

Why it works. While a report is full, a run that it does not list stays undecided: its end follows with the next report, or its leases lapse.

--- a/ibiscell/late_end_test.go
+++ b/ibiscell/late_end_test.go
@@ -535,3 +535,16 @@
 	w.run(5000)
 	assert.Equal(t, w.state(jobID(1)), ibisjob.Failed)
 }
+
+// Guards against TWICE: a run whose end is not listed yet, because the report is full of others, is taken for lost and
+// started again.
+func TestRunWhoseEndIsNotListedYetIsNotLost(t *testing.T) {
+	const tasks = maxEndsListed + 200
+	w := newWorld(t, 1)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "2000", Steps: steps(ibisjob.Step{Tasks: tasks, Size: size(20, 1)})})
+	w.run(5000) // fakeServer.start checks that no task runs again after it was done
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+	assert.Equal(t, len(w.starts), tasks)
+	assert.Equal(t, len(w.servers["s00"].ended), 0, "the ends were not acknowledged")
+}
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -32,6 +32,7 @@
 	failuresToSetAside  = 2    // consecutive failed runs after which a server is set aside
 	asideMS             = 1500 // first backoff of a server that is set aside; doubled up to asideMaxMS
 	asideMaxMS          = 12000
+	maxEndsInReport     = 500    // ended runs that the platform's servers list in one report; they list the others later
 	recentSuccessMS     = 20_000 // a success within this time qualifies a server for tasks on their last attempt
 )
 
@@ -321,6 +322,9 @@
 		}
 		e.confirmRunning(r, l, rep.SentAt)
 	}
+	if len(rep.Ended) >= maxEndsInReport { // the end of a run that is not listed may follow
+		return
+	}
 	var unlisted []*run
 	for name, r := range s.runs {
 		if !listed[name] {
--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -43,6 +43,9 @@
 // maxRowBytes is the largest value that the platform's table takes.
 const maxRowBytes = 64 << 10
 
+// maxEndsListed is the number of ends that the platform's servers list in one report; the others follow.
+const maxEndsListed = 500
+
 type event struct {
 	dueAt int64
 	n     int
@@ -336,6 +339,7 @@
 			}
 			answered = true
 			r := ibiscell.Report{Target: s.info.Target, SentAt: sent, ClockMS: w.now, Ended: slices.Clone(s.ended)}
+			r.Ended = r.Ended[:min(len(r.Ended), maxEndsListed)]
 			for name := range s.runs {
 				r.Running = append(r.Running, ibiscell.ActiveRun{Name: name})
 			}
