ibiscell: a start whose answer comes after its server has restarted is repeated

The answer to a start order that names the previous incarnation of its server is ignored, and only an answer makes the order be repeated. replaceIncarnation lets the run go on waiting for it, as the reports do for runs that are not confirmed.

Why it works. The order is repeated to the new incarnation, with the same number, so it starts at most once there, also if the first one has reached it; a ticket of the previous incarnation is refused, and the run ends.

--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -454,3 +454,20 @@
 		assert.Equal(t, w.state(jobID(100+n)), ibisjob.Completed)
 	}
 }
+
+// Guards against LOST: a start order whose answer comes after its server has restarted is never sent again, and its task
+// waits for ever.
+func TestStartAnsweredAfterARestartIsRepeated(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(20)
+	s := w.servers["s00"]
+	s.dropReplies = true
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "800", Steps: steps(ibisjob.Step{Tasks: 2, Size: size(1000, 10)})})
+	w.run(200)
+	assert.Equal(t, len(s.runs), 2)
+	s.reboot()
+	s.dropReplies = false
+	w.sendServerList()
+	w.run(3000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -140,6 +140,8 @@
 		switch r.state {
 		case runRunning, runStopping:
 			e.setState(r, runRecovered)
+		case runSent: // the answer of the previous incarnation is not for this one
+			e.retryAfter(r, orderRetryMS)
 		}
 	}
 	e.placementDue = true
--- a/ibiscell/world_test.go
+++ b/ibiscell/world_test.go
@@ -31,10 +31,11 @@
 	denied       func(step, server string) bool // servers that advice does not approve; nil: none
 	adviceMS     func(n int) int64              // duration of a call that names n servers
 	onAdvise     func(ibiscell.Advise)
-	tickets      bool // servers refuse starts with expired tickets
-	badTickets   int  // starts that they have refused for that
-	allowRerun   bool // tasks may run again after they have succeeded
-	writtenBytes int  // values of all rows that were sent to the table
+	tickets      bool          // servers refuse starts with expired tickets
+	badTickets   int           // starts that they have refused for that
+	allowRerun   bool          // tasks may run again after they have succeeded
+	record       []serverEvent // what the servers have done
+	writtenBytes int           // values of all rows that were sent to the table
 	epoch        int64
 	settings     ibiscell.Settings
 	cfg          *ibisjob.Config
@@ -46,6 +47,24 @@
 // maxEndsListed is the number of ends that the platform's servers list in one report; the others follow.
 const maxEndsListed = 500
 
+// serverEvent is something that a server has done: a run started or ended, or its end was acknowledged.
+type serverEvent struct {
+	at     int64
+	what   serverAction
+	name   ibiscell.RunName
+	end    ibiscell.RunOutcome
+	endAt  int64 // when the run ended
+	lapsed bool  // the server's leases lapsed between the end and its acknowledgement
+}
+
+type serverAction int
+
+const (
+	runStarted serverAction = iota
+	runEnded
+	endAcknowledged
+)
+
 type event struct {
 	dueAt int64
 	n     int
@@ -57,7 +76,9 @@
 	runs           map[ibiscell.RunName]int64 // time at which each run ends
 	ended          []ibiscell.RunEnd
 	lastEnd        int64
-	lease          int64 // end of the lease
+	lease          int64           // end of the lease
+	lapsedAt       int64           // when it had last lapsed
+	endedAt        map[int64]int64 // times of the ends, by number
 	epoch          int64
 	partitioned    bool
 	dropReplies    bool                  // orders are carried out but not answered
@@ -89,7 +110,7 @@
 		id := fmt.Sprintf("s%02d", n)
 		w.servers[id] = &fakeServer{
 			info: ibiscell.ServerInfo{Target: ibiscell.Target{ID: id, Address: id, Incarnation: 1}, Service: "svc", Rack: fmt.Sprint("r", n/8), Capacity: size(16000, 65536)},
-			runs: map[ibiscell.RunName]int64{}, stopped: map[string]int64{},
+			runs: map[ibiscell.RunName]int64{}, stopped: map[string]int64{}, endedAt: map[int64]int64{},
 		}
 	}
 	w.newLeader()
@@ -192,6 +213,8 @@
 	s.stopped[name.Task] = max(s.stopped[name.Task], name.Run)
 	s.lastEnd++
 	s.ended = append(s.ended, ibiscell.RunEnd{N: s.lastEnd, Name: name, Outcome: outcome})
+	s.endedAt[s.lastEnd] = w.now
+	w.record = append(w.record, serverEvent{at: w.now, what: runEnded, name: name, end: outcome, endAt: w.now})
 	if outcome == ibiscell.RunDone {
 		w.completions[name.Task]++
 	}
@@ -202,6 +225,9 @@
 }
 
 func (s *fakeServer) advance(w *world) {
+	if w.now > s.lease {
+		s.lapsedAt = w.now
+	}
 	for name, until := range s.runs {
 		switch {
 		case w.now > s.lease:
@@ -294,6 +320,7 @@
 	}
 	s.lease = max(s.lease, c.LeaseEndMS)
 	s.runs[c.Name] = w.now + taskDurationMS(c.Spec)
+	w.record = append(w.record, serverEvent{at: w.now, what: runStarted, name: c.Name})
 	assert.Assert(w.t, w.allowRerun || w.completions[c.Name.Task] == 0, "%s runs again after it was done", c.Name.Task)
 	for _, other := range w.servers {
 		for name := range other.runs {
@@ -331,7 +358,7 @@
 		}
 		s.epoch = c.Epoch
 		s.lease = max(s.lease, c.LeaseEndMS)
-		s.ended = slices.DeleteFunc(s.ended, func(e ibiscell.RunEnd) bool { return e.N <= c.Acked })
+		s.acknowledge(w, c.Acked)
 		answered := false
 		reply := func() {
 			if answered || s.partitioned {
@@ -359,6 +386,27 @@
 	})
 }
 
+// acknowledge forgets the ends up to number n.
+func (s *fakeServer) acknowledge(w *world, n int64) {
+	s.ended = slices.DeleteFunc(s.ended, func(e ibiscell.RunEnd) bool {
+		if e.N > n {
+			return false
+		}
+		at := s.endedAt[e.N]
+		w.record = append(w.record, serverEvent{at: w.now, what: endAcknowledged, name: e.Name, end: e.Outcome, endAt: at, lapsed: s.lapsedAt >= at})
+		return true
+	})
+}
+
+// reboot replaces s by a new incarnation, which holds and knows nothing of before.
+func (s *fakeServer) reboot() {
+	clear(s.runs)
+	clear(s.stopped)
+	clear(s.endedAt)
+	s.ended, s.lastEnd, s.lease, s.epoch, s.onEnd = nil, 0, 0, 0, nil
+	s.info.Incarnation++
+}
+
 func (w *world) submit(to uint64, j ibisjob.Job) {
 	if j.Team == "" {
 		j.Team = "a"
