KNOWN-RED: accepted jobs of a removed queue do not outlive their leader

Found by reading. The engine keeps the last settings of a queue that the configuration no longer contains, for the jobs that still belong to it; they are in memory only. The next leader has no service for these jobs, so their tasks never start (LOST).

--- a/ibiscell/journal_test.go
+++ b/ibiscell/journal_test.go
@@ -194,3 +194,19 @@
 		})
 	}
 }
+
+// Guards against LOST: the settings of a queue that the configuration no longer contains are lost with the leader, so its
+// accepted jobs never end.
+func TestJobOfARemovedQueueOutlivesItsLeader(t *testing.T) {
+	w := newWorld(t, 2)
+	w.run(20)
+	w.submit(1, ibisjob.Job{ID: jobID(1), Queue: "bulk", Spec: "1000", Steps: steps(
+		ibisjob.Step{Tasks: 1, Size: size(100, 10)}, ibisjob.Step{Tasks: 1, Size: size(100, 10), DependsOn: []int{0}})})
+	w.run(200)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Active)
+	w.cfg = &ibisjob.Config{Version: 2, Queues: w.cfg.Queues[:2], Teams: w.cfg.Teams} // without bulk
+	w.e.SetConfig(w.cfg)
+	w.newLeader()
+	w.run(6000)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
