--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -32,6 +32,7 @@
 	failuresToSetAside  = 2    // consecutive failed runs after which a server is set aside
 	asideMS             = 1500 // first backoff of a server that is set aside; doubled up to asideMaxMS
 	asideMaxMS          = 12000
+	maxEndsInReport     = 500    // ended runs that the platform's servers list in one report; they list the others later
 	recentSuccessMS     = 20_000 // a success within this time qualifies a server for tasks on their last attempt
 )
 
@@ -139,6 +140,8 @@
 		switch r.state {
 		case runRunning, runStopping:
 			e.setState(r, runRecovered)
+		case runSent: // the answer of the previous incarnation is not for this one
+			e.retryAfter(r, orderRetryMS)
 		}
 	}
 	e.placementDue = true
@@ -286,7 +289,7 @@
 		if r := s.runs[end.Name]; r != nil {
 			e.endRun(r, end.Outcome, end.Checkpoint)
 			change = e.journal.lastChange
-		} else if e.endUntracked(end) {
+		} else if e.endUntracked(s, end) {
 			change = e.journal.lastChange
 		}
 		s.unacked = append(s.unacked, uncommittedEnd{n: end.N, change: change})
@@ -321,6 +324,9 @@
 		}
 		e.confirmRunning(r, l, rep.SentAt)
 	}
+	if len(rep.Ended) >= maxEndsInReport { // the end of a run that is not listed may follow
+		return
+	}
 	var unlisted []*run
 	for name, r := range s.runs {
 		if !listed[name] {
