platform, ibisnode: a read of the configuration that goes on arriving is not given up

Callers saw nothing yet; they would have been refused (NoConfig, KeysNotFresh) or served by an old configuration, at daemons on slow links.

Cause: a read of the configuration had 2 s in all. One of more than 500 KB on 2 Mbit/s, or 2.5 MB on 10 Mbit/s, was given up while it arrived, and begun again from its start, for ever.

A new leader still waits 2 s at the most before it serves.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -217,12 +217,14 @@
 // readConfig reads the configuration from the platform and confirms it; see Directory for lag. It reports whether there
 // is one.
 func (n *Node) readConfig(ctx context.Context) (lag time.Duration, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, configReadTimeout)
 	defer cancel()
 	began := n.clock.Now()
-	cfg, lag, err := n.directory.Config(ctx)
+	cfg, lag, err := n.directory.Config(readCtx)
 	if err != nil {
-		n.dependencyLost("Config", err)
+		if ctx.Err() == nil { // else the caller has stopped waiting, which says nothing about the platform
+			n.dependencyLost("Config", err)
+		}
 		return 0, false
 	}
 	n.dependencyBack("Config")
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -320,7 +320,12 @@
 		addErr(err)
 		servers = list
 	})
-	wg.Go(func() { t.n.readConfig(ctx) })
+	wg.Go(func() {
+		// The cell isn't kept waiting for a configuration that arrives slowly.
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		t.n.readConfig(ctx)
+	})
 	wg.Wait()
 	if readErr != nil {
 		return nil, Error.Wrap(readErr)
--- a/ibisnode/ports.go
+++ b/ibisnode/ports.go
@@ -63,7 +63,8 @@
 type Directory interface {
 	// Config returns the newest configuration, or nil when there is none yet. It may return the same pointer
 	// again while the version is unchanged, so that the value must not be modified. Changes made within lag before the
-	// call may be missing.
+	// call may be missing. It returns an error when the platform is silent for readTimeout: ctx may leave a large
+	// configuration the time to arrive over a slow link.
 	Config(ctx context.Context) (cfg *ibisjob.Config, lag time.Duration, err error)
 	// Servers lists all registered backend servers.
 	Servers(ctx context.Context) ([]ibiscell.ServerInfo, error)
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -20,7 +20,8 @@
 	heartbeatInterval    = 250 * time.Millisecond  // between commits without changes, which show that the leader is alive
 	serversInterval      = 400 * time.Millisecond  // between reads of the server list; to see one leave within 500 ms
 	configInterval       = 500 * time.Millisecond  // between reads of the configuration, which must apply within 2 s
-	readTimeout          = 2 * time.Second         // of one read of the directory; a slow table answers in 0.3 to 0.8 s
+	readTimeout          = 2 * time.Second         // of one read of the servers; a slow table answers in 0.3 to 0.8 s
+	configReadTimeout    = 20 * time.Second        // of one read of the configuration that goes on arriving: 4 MB take 17 s over 2 Mbit/s
 	loadInterval         = time.Second             // between log lines of the cell's load
 	maxCountsAge         = 1500 * time.Millisecond // of the counts of waiting jobs, which may be shown for 2 s
 	transferCheckReports = 3                       // load reports between checks for a much stronger VM
