ibisnode: daemons leave the configuration to a leader that is reading it

Cause: a daemon without a new confirmation for 1.1 s reads the configuration for itself. The leader's whole read of 1.2 MB on 10 Mbit/s, or 250 KB on 2 Mbit/s, takes 1 s, every 5 s; with 0.5 s between reads and 0.25 s between pongs, all followers began the same read each time.

Change: the leader says on its pongs that it is reading. A follower waits for it while pongs come, the leader's last commit is less than 1.5 s old, so that it reaches the table, and until half a second before its own configuration is too old for keys to be accepted (3.25 s of 3.75 s after the last confirmation). Without a leader, or without a configuration, it reads as before. A newer version that a pong names counts as arriving for 0.7 s, once: else a follower would read it while the leader encodes it. A pong confirms the configuration before it ends the wait.

Before: TestDaemonsDoNotReadWhatTheirLeaderIsReading, "2 (int) != 0 (before int): whole reads by daemons that have a leader".

Ruled out: to go on with the feed during the whole read, since its replies wait behind that read on the same link.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -22,6 +22,13 @@
 	// directReadAfter is the time without a new confirmation by the leader after which a daemon reads the
 	// configuration from the platform itself.
 	directReadAfter = 1100 * time.Millisecond
+	// directReadReserve is the time before its configuration is too old at which a daemon reads it itself although its
+	// leader is reading it.
+	directReadReserve = 500 * time.Millisecond
+	// readingCommitAge is how old the last commit of a leader may be for others to leave the configuration to it. One that
+	// doesn't reach the table reads in vain. A commit waits up to 1 s behind a configuration that fills the link, and is
+	// heard of up to half a second later.
+	readingCommitAge = 1500 * time.Millisecond
 	// notReadyRetryMS is the retry delay for callers that this daemon can't serve.
 	notReadyRetryMS = 1000
 )
@@ -217,6 +224,8 @@
 // readConfig reads the configuration from the platform and confirms it; see Directory for lag. It reports whether there
 // is one.
 func (n *Node) readConfig(ctx context.Context) (lag time.Duration, ok bool) {
+	n.configReads.Add(1)
+	defer n.configReads.Add(-1)
 	readCtx, cancel := context.WithTimeout(ctx, configReadTimeout)
 	defer cancel()
 	began := n.clock.Now()
@@ -236,18 +245,35 @@
 	return lag, true
 }
 
-// readConfigWithoutLeader reads the configuration whenever no leader has confirmed it lately. A daemon that
-// leads polls it as part of its term.
+// readConfigWithoutLeader reads the configuration whenever no leader has confirmed it lately, or is about to. A daemon
+// that leads polls it as part of its term.
 func (n *Node) readConfigWithoutLeader(ctx context.Context) {
 	for n.sleep(ctx, configInterval/2) {
 		if n.currentTerm() != nil {
 			continue
 		}
-		if n.sinceConfigConfirmed() > directReadAfter && !n.configArriving(n.clock.Now()) {
+		// A pong that ends the leader's read has confirmed or announced the configuration before.
+		now := n.clock.Now()
+		if !n.leaderReadsConfig(now) && !n.configArriving(now) && n.sinceConfigConfirmed() > directReadAfter {
 			n.readConfig(ctx)
 		}
 	}
 }
 
+// leaderReadsConfig reports whether to wait for the configuration that the leader is reading: as long as it reaches the
+// table, and this daemon's own doesn't become too old meanwhile.
+func (n *Node) leaderReadsConfig(now ibiscell.Time) bool {
+	n.mu.Lock()
+	f, confirmedAt := n.follower, n.configConfirmedAt
+	n.mu.Unlock()
+	if f == nil || now-confirmedAt >= n.configMaxAgeMS()-directReadReserve.Milliseconds() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := &f.lastPong
+	return p.ReadingConfig && now-f.pongAt <= pongTimeout.Milliseconds() && p.CommitAgeMS+now-p.At < readingCommitAge.Milliseconds()
+}
+
 // RetryMS is the retry delay, in milliseconds, for callers that this daemon can't serve now.
 func (n *Node) RetryMS() int64 { return notReadyRetryMS }
--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -320,7 +320,15 @@
 	return nil
 }
 
-// configArriving reports whether a part of the configuration has arrived lately.
+// announceConfig records that the leader has a newer configuration, whose first part will follow.
+func (f *follower) announceConfig(version int64) {
+	if _, own := f.n.configStatus(); version > own && version > f.announced {
+		f.announced = version
+		f.n.configPartAt.Store(f.n.clock.Now())
+	}
+}
+
+// configArriving reports whether a part of the configuration has arrived lately, or is about to.
 func (n *Node) configArriving(now ibiscell.Time) bool {
 	at := n.configPartAt.Load()
 	return at != 0 && now-at < configPartGap.Milliseconds()
--- a/ibisnode/configlink_test.go
+++ b/ibisnode/configlink_test.go
@@ -155,6 +155,47 @@
 	}
 }
 
+// Guards against daemons that read the configuration beside a leader that is reading it, and against those that wait for one
+// that doesn't get it or for longer than keys may be accepted.
+func TestConfigurationIsLeftToALeaderThatReadsItForABoundedTime(t *testing.T) {
+	now := fixedClock{}.Now()
+	for name, c := range map[string]struct {
+		age, pongAge int64 // in milliseconds
+		pong         *pong // nil: no leader
+		left         bool
+	}{
+		"reads":                {3000, 200, &pong{CommitAgeMS: 1000, ReadingConfig: true}, true},
+		"no leader":            {3000, 200, nil, false},
+		"doesn't read":         {3000, 200, &pong{CommitAgeMS: 100}, false},
+		"silent":               {1000, 800, &pong{ReadingConfig: true}, false},
+		"can't write":          {1000, 200, &pong{CommitAgeMS: 1400, ReadingConfig: true}, false},
+		"keys are nearly void": {3300, 200, &pong{ReadingConfig: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode(&ibisjob.Config{Version: 1})
+			n.settings.RevokeMS = 5000
+			n.configConfirmedAt = now - c.age
+			if c.pong != nil {
+				c.pong.At = now - c.pongAge
+				n.follower = &follower{n: n, pongAt: now - c.pongAge, lastPong: *c.pong}
+			}
+			assert.Equal(t, n.leaderReadsConfig(now), c.left)
+		})
+	}
+}
+
+// Guards against daemons that read a new configuration which their leader has read and is about to send.
+func TestDaemonsWaitForTheFirstPartOfANewerConfiguration(t *testing.T) {
+	f := &follower{n: newTestNode(&ibisjob.Config{Version: 3})}
+	f.announceConfig(3)
+	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()), "it has this version")
+	f.announceConfig(5)
+	assert.Assert(t, f.n.configArriving(f.n.clock.Now()))
+	f.n.configPartAt.Store(0)
+	f.announceConfig(5)
+	assert.Assert(t, !f.n.configArriving(f.n.clock.Now()), "each version is waited for once")
+}
+
 // newTestLink returns a link whose last ping came at a time on the clock of newTestNode.
 func newTestLink(t *testing.T, pingAt int64) *link {
 	l := newLink(member{})
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -183,10 +183,11 @@
 // newPong answers a ping. Counts of waiting jobs that are too old are left out.
 func (t *term) newPong(p *ping) *pong {
 	now := t.n.clock.Now()
+	reading := t.n.configReads.Load() > 0 // before what the read results in
 	confirmedAt, version := t.n.configStatus()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS()}
+	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS(), ReadingConfig: reading}
 	if now-t.countedAt < maxCountsAge.Milliseconds() {
 		out.WaitingJobs = t.waitingJobs
 	}
@@ -215,6 +216,7 @@
 	targets   []ibiscell.Target // named by the leader's orders
 	stopScout context.CancelFunc
 	arriving  arrivingConfig
+	announced int64 // newest version of the leader's configuration that was not this daemon's
 }
 
 // request sends r to the leader. When the link breaks before the reply, answer is called with NotLeader.
@@ -360,11 +362,12 @@
 		f.handleConfigPart(&m.ConfigParts[k])
 	}
 	if p := m.Pong; p != nil {
+		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS)
+		f.announceConfig(p.Version)
 		f.mu.Lock()
 		f.pongAt, f.lastPong = f.n.clock.Now(), *p
 		f.linkAtPong, f.bodiesAtPong = f.received(), f.n.bodiesReceived()
 		f.mu.Unlock()
-		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS)
 	}
 }
 
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -105,6 +105,7 @@
 	recoveringSeenAt ibiscell.Time // when a leader last said that it reads the journal; 0: never
 
 	configPartAt atomic.Int64 // when the last part of a configuration arrived, on the node's clock; 0: never
+	configReads  atomic.Int32 // reads of the configuration that are under way
 
 	recovering atomic.Bool  // this daemon has acquired leadership and reads the journal
 	slowReadAt atomic.Int64 // when a read of the table was last slow, on the node's clock; 0: never
--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -70,3 +70,21 @@
 	time.Sleep(12 * time.Second)
 	assert.Equal(t, reads(), before, "whole reads by daemons that have a leader")
 }
+
+// Guards against withdrawn keys that work for longer than revokeMs (5 s) because daemons leave the configuration to a leader
+// whose read of it is not answered.
+func TestConfigurationIsNotLeftForLongToALeaderThatDoesNotGetIt(t *testing.T) {
+	g := newGroup(t, 1, 0.2, 0.2)
+	leader := g.leader()
+	leader.table.configMu.Lock()
+	leader.table.configStuck = true
+	leader.table.configMu.Unlock()
+	time.Sleep(time.Second) // its next read has begun
+	g.table.setConfig(newConfig(2, 1))
+	changed := time.Now()
+	for _, m := range g.others(leader) {
+		ibisharness.Eventually(t, 5*time.Second, m.name+" applies the configuration", func() bool { return m.Config().Version >= 2 })
+	}
+	t.Logf("applied after %v", time.Since(changed))
+	assert.Equal(t, g.leader(), leader)
+}
--- a/ibisnode/table_test.go
+++ b/ibisnode/table_test.go
@@ -136,6 +136,7 @@
 	configVersion int64     // as last read
 	configReadAt  time.Time // of the last read of the whole configuration
 	configReads   int       // of the whole configuration
+	configStuck   bool      // a read of the configuration is not answered
 }
 
 // configReadInterval is the time after which a daemon reads the whole configuration again although it has not changed.
@@ -149,7 +150,12 @@
 	v.mu.Unlock()
 	v.configMu.Lock()
 	known := v.configVersion == version && time.Since(v.configReadAt) < configReadInterval
+	stuck := v.configStuck
 	v.configMu.Unlock()
+	if stuck {
+		<-ctx.Done()
+		return ibisnode.Unknown.Wrap(ctx.Err())
+	}
 	if known || d == 0 {
 		return nil
 	}
