--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -106,6 +106,7 @@
 
 	configPartAt  atomic.Int64 // when the last part of a configuration arrived, on the node's clock; 0: never
 	refusedConfig atomic.Int64 // newest version of which this daemon couldn't use a change
+	configReads   atomic.Int32 // reads of the configuration that are under way
 
 	recovering atomic.Bool  // this daemon has acquired leadership and reads the journal
 	slowReadAt atomic.Int64 // when a read of the table was last slow, on the node's clock; 0: never
