--- a/ibishttp/drain.go
+++ b/ibishttp/drain.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -112,8 +111,8 @@
 	if half, ok := c.(interface{ CloseWrite() error }); ok && err == nil {
 		err = half.CloseWrite()
 	}
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		c.Close()
+	if err != nil {
+		_ = c.Close() // the server sees that, if it has not closed the connection itself
 	}
 }
 
--- a/ibishttp/drain_test.go
+++ b/ibishttp/drain_test.go
@@ -222,7 +222,7 @@
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
-	t.Cleanup(func() { c.Close() })
+	t.Cleanup(func() { _ = c.Close() })
 	return &rawClient{c, bufio.NewReader(c)}
 }
 
