--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -37,8 +37,10 @@
 	// slowReadThreshold is ten times the usual time of a read; a table that takes longer is slow for all daemons.
 	slowReadThreshold = 100 * time.Millisecond
 	getTimeout        = 1500 * time.Millisecond
-	scanTimeout       = 4 * time.Second
-	acquireAttempts   = 6
+	// recoverTimeout is how long a new leader may take to read the journal: 1.5 MB over 2 Mbit/s, or as long as others may
+	// be without a leader. A read that stands still ends earlier.
+	recoverTimeout  = 12 * time.Second
+	acquireAttempts = 6
 	// recoveringPause is the time between attempts to link to a leader that reads the journal.
 	recoveringPause = 400 * time.Millisecond
 	maxPeersAsked   = 3 // daemons that are asked for the leader in one round
@@ -290,7 +292,7 @@
 // recoverCell restores the engine from the cell's journal, the configuration and the list of backend servers,
 // which are read concurrently.
 func (t *term) recoverCell() (*ibiscell.Engine, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, scanTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, recoverTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	var servers []ibiscell.ServerInfo
--- a/ibisnode/ports.go
+++ b/ibisnode/ports.go
@@ -47,7 +47,8 @@
 	Commit(ctx context.Context, tx Tx) (version int64, err error)
 	// Get returns a row; the version of an absent row is 0.
 	Get(ctx context.Context, table, part, key string) (Row, error)
-	// Scan returns all rows of a table in one partition.
+	// Scan returns all rows of a table in one partition. It fails when the table stops answering, and not because there is
+	// much to read; it leaves room on the daemon's link for commits.
 	Scan(ctx context.Context, table, part string) ([]Row, error)
 }
 
