--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -100,6 +100,8 @@
 	WaitingJobs map[string]int `cbor:"5,keyasint"` // accepted jobs without a started task, by queue; nil: unknown
 	Now         ibiscell.Time  `cbor:"6,keyasint"` // when it was sent, on the leader's clock
 	CommitMS    int64          `cbor:"7,keyasint"` // average time of the leader's commits
+
+	JournalBytes int64 `cbor:"8,keyasint,omitempty"` // which a new leader would read
 }
 
 // leadershipTransfer asks the receiver to acquire leadership from the sender at once.
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -144,6 +144,8 @@
 	fleet   fleet
 	direct  int // setting DirectServers of the daemons
 	members []*member
+
+	linkSpeed float64 // setting of the daemons
 }
 
 // newGroup starts a daemon for each power, with one backend server.
@@ -152,7 +154,12 @@
 // newGroupOf starts a daemon for each power, with a number of backend servers, of which a leader calls direct ones
 // without relays.
 func newGroupOf(t *testing.T, servers, direct int, powers ...float64) *group {
-	g := &group{t: t, table: &sharedTable{rows: map[string]ibisnode.Row{}, cfg: newConfig(1, 1)}, fleet: fleet{}, direct: direct}
+	return startGroup(&group{t: t, direct: direct}, servers, powers...)
+}
+
+// startGroup starts the daemons of g, which has its settings only.
+func startGroup(g *group, servers int, powers ...float64) *group {
+	g.table, g.fleet = &sharedTable{rows: map[string]ibisnode.Row{}, cfg: newConfig(1, 1)}, fleet{}
 	for n := range servers {
 		g.addServer(fmt.Sprint("s", n))
 	}
@@ -177,7 +184,7 @@
 	listen := ibisharness.FreeAddress(g.t)
 	m.link = ibisharness.NewLink(g.t, m.name, listen)
 	m.table.link = m.link
-	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct}, ibisnode.Ports{
+	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct, LinkSpeed: g.linkSpeed}, ibisnode.Ports{
 		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: m.registry,
 		Log: &log.Logger{Handler: m.events, Level: log.InfoLevel},
 	})
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -41,6 +41,8 @@
 	// be without a leader. A read that stands still ends earlier.
 	recoverTimeout  = 12 * time.Second
 	acquireAttempts = 6
+	// wireFactor is the ratio of a row's size in the table's replies, as base64 with its names, to that of its value.
+	wireFactor = 1.4
 	// recoveringPause is the time between attempts to link to a leader that reads the journal.
 	recoveringPause = 400 * time.Millisecond
 	maxPeersAsked   = 3 // daemons that are asked for the leader in one round
@@ -172,8 +174,9 @@
 	f.mu.Lock()
 	age := f.lastPong.CommitAgeMS + n.clock.Now() - f.lastPong.At
 	commitTime := time.Duration(f.lastPong.CommitMS) * time.Millisecond
+	journalBytes := f.lastPong.JournalBytes
 	f.mu.Unlock()
-	allowed := n.replacementDelay(commitTime) + n.candidacyDelay(f.leader.Name)
+	allowed := max(n.replacementDelay(commitTime), n.journalReadTime(journalBytes)) + n.candidacyDelay(f.leader.Name)
 	if age < allowed.Milliseconds() || n.isDraining() {
 		return false
 	}
@@ -209,6 +212,16 @@
 	return min(d, replaceMax)
 }
 
+// journalReadTime is how long the journal takes over this daemon's link. A leader that can be reached is given as long to
+// commit, since nobody is served while its replacement reads the journal.
+func (n *Node) journalReadTime(journalBytes int64) time.Duration {
+	if n.settings.LinkSpeed <= 0 {
+		return 0
+	}
+	seconds := wireFactor * float64(journalBytes) / n.settings.LinkSpeed
+	return min(time.Duration(seconds*float64(time.Second)), replaceMax)
+}
+
 // acquireAndLead tries to acquire leadership from the leader of the given epoch, and leads the cell until the
 // term is over. Requested says that this daemon was told to replace the leader, or decided to while linked.
 func (n *Node) acquireAndLead(ctx context.Context, epoch int64, requested bool) {
@@ -236,7 +249,7 @@
 		return
 	}
 	t.startedAt = t.n.clock.Now()
-	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired}).Info("LeadTaken")
+	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired, "CommitMSAgo": n.clock.Now() - t.commitAt.Load()}).Info("LeadTaken")
 	n.recordLeader(own)
 	t.lead(e)
 }
@@ -282,7 +295,7 @@
 	t := &term{
 		n: n, row: row, version: version, log: n.log.WithField("Epoch", row.Epoch),
 		events: make(chan func(*ibiscell.Engine), maxPendingEvents), batches: make(chan *ibiscell.Batch, 1), done: make(chan struct{}),
-		links: make(map[*link]bool), unreached: make(map[string]bool), pending: make(map[uint64]func(Reply)),
+		journal: make(map[journalKey]int), links: make(map[*link]bool), unreached: make(map[string]bool), pending: make(map[uint64]func(Reply)),
 		openLoggedAt: make(map[string]ibiscell.Time), configParts: make(chan struct{}, maxConfigParts), configWanted: make(chan struct{}, 1),
 	}
 	t.commitAt.Store(n.clock.Now())
@@ -294,6 +307,7 @@
 func (t *term) recoverCell() (*ibiscell.Engine, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, recoverTimeout)
 	defer cancel()
+	began := t.n.clock.Now()
 	var wg sync.WaitGroup
 	var servers []ibiscell.ServerInfo
 	rows := make(map[string][]ibiscell.Row)
@@ -331,6 +345,10 @@
 	settings.Epoch = t.row.Epoch
 	e := ibiscell.New(settings, t.log)
 	now := t.n.clock.Now()
+	for _, list := range rows {
+		t.trackJournal(list, nil) // the committing goroutine has no batch yet
+	}
+	t.log.WithFields(log.Fields{"Rows": len(t.journal), "KB": t.journalBytes.Load() >> 10, "ReadMS": now - began, "CommitMSAgo": now - t.commitAt.Load()}).Info("JournalRead")
 	e.SetUnixTime(now, t.n.clock.UnixMS())
 	if cfg := t.n.Config(); cfg != nil {
 		e.SetConfig(cfg)
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -186,7 +186,7 @@
 	confirmedAt, version := t.n.configStatus()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS()}
+	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS(), JournalBytes: t.journalBytes.Load()}
 	if now-t.countedAt < maxCountsAge.Milliseconds() {
 		out.WaitingJobs = t.waitingJobs
 	}
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -47,13 +47,14 @@
 
 // Settings configures a daemon.
 type Settings struct {
-	Name     string
-	Address  string  // IP and port at which other daemons reach this one
-	Listen   string  // IP and port to listen on, if it differs from Address
-	FirstRun bool    // the system starts for the first time: an empty table means that there is no leader to wait for
-	Power    float64 // CPU work that this VM does per second, in cores
-	RevokeMS int64   // time in milliseconds within which a withdrawn key must stop working
-	Cell     ibiscell.Settings
+	Name      string
+	Address   string  // IP and port at which other daemons reach this one
+	Listen    string  // IP and port to listen on, if it differs from Address
+	FirstRun  bool    // the system starts for the first time: an empty table means that there is no leader to wait for
+	Power     float64 // CPU work that this VM does per second, in cores
+	LinkSpeed float64 // of this VM's link, in bytes per second; 0: unknown, taken for slow
+	RevokeMS  int64   // time in milliseconds within which a withdrawn key must stop working
+	Cell      ibiscell.Settings
 
 	FailureDomain string // of this daemon's VM
 	DirectServers int    // backend servers that a leader calls itself; with more, relays make the calls; 0: 64
--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -50,6 +50,24 @@
 	g.assertRanOnce()
 }
 
+// Guards against a leader that is replaced for a pause between its commits, such as links that all open at once cause on
+// a slow link, when its replacement would read the journal for longer. One that cannot write at all is replaced.
+func TestLeaderIsGivenAsLongAsItsReplacementWouldTake(t *testing.T) {
+	g := startGroup(&group{t: t, linkSpeed: 1}, 1, 1, 1, 1) // the journal takes minutes
+	leader := g.leader()
+	leader.table.setUnavailable(true)
+	time.Sleep(2500 * time.Millisecond)
+	leader.table.setUnavailable(false)
+	g.awaitServing(g.members...)
+	assert.Assert(t, g.leader() == leader)
+	assert.Equal(t, g.count("LeaderCannotWrite"), 0)
+	leader.table.setUnavailable(true)
+	ibisharness.Eventually(t, 10*time.Second, "another leads", func() bool { l := g.leader(); return l != nil && l != leader })
+	leader.table.setUnavailable(false)
+	g.awaitServing(g.members...)
+	g.assertRanOnce()
+}
+
 // Guards against daemons that all read the whole configuration, every five seconds, because their leader takes long to
 // read it again: 1.2 MB on a link of 10 Mbit/s, 250 KB on one of 2 Mbit/s.
 func TestDaemonsDoNotReadWhatTheirLeaderIsReading(t *testing.T) {
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -50,6 +50,9 @@
 	batches chan *ibiscell.Batch // to the committing goroutine
 	done    chan struct{}        // closed when the term is over
 
+	journal      map[journalKey]int // sizes of the rows of the journal, in bytes; owned by the committing goroutine
+	journalBytes atomic.Int64       // their sum
+
 	startedAt    ibiscell.Time
 	relays       relaySet
 	scout        scoutState
@@ -372,6 +375,25 @@
 	}
 }
 
+// journalKey names a row of the journal.
+type journalKey struct{ table, key string }
+
+// trackJournal records rows of the journal that have been written and removed.
+func (t *term) trackJournal(puts, removes []ibiscell.Row) {
+	var change int
+	for _, r := range puts {
+		k := journalKey{r.Table, r.Key}
+		change += len(r.Value) - t.journal[k]
+		t.journal[k] = len(r.Value)
+	}
+	for _, r := range removes {
+		k := journalKey{r.Table, r.Key}
+		change -= t.journal[k]
+		delete(t.journal, k)
+	}
+	t.journalBytes.Add(int64(change))
+}
+
 // findCommitted reads the leader row to find out whether a commit without a reply has taken effect. As long as
 // reads are slow too, the commit is probably still queued at the table, and another attempt would only wait
 // behind it.
@@ -425,6 +447,9 @@
 	now := t.n.clock.Now()
 	t.commitAt.Store(now)
 	metrics.GetOrRegisterTimer("CommitTime", t.n.registry).UpdateSince(began)
+	if b != nil {
+		t.trackJournal(b.Puts, b.Removes)
+	}
 	t.enqueue(func(e *ibiscell.Engine) {
 		if b == nil {
 			e.WriteConfirmed(now)
