--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -41,6 +41,12 @@
 	// be without a leader. A read that stands still ends earlier.
 	recoverTimeout  = 12 * time.Second
 	acquireAttempts = 6
+	// maxReplyBytes is the most that the platform's table sends in one reply. While it fills the link of a daemon, nothing
+	// else arrives.
+	maxReplyBytes = 1 << 20
+	// maxRecoverySilence limits how long a new leader is waited for that is silent while it reads the journal: the time of
+	// such a reply over 2 Mbit/s, the slowest link of all known deployments.
+	maxRecoverySilence = 4 * time.Second
 	// wireFactor is the ratio of a row's size in the table's replies, as base64 with its names, to that of its value.
 	wireFactor = 1.4
 	// recoveringPause is the time between attempts to link to a leader that reads the journal.
@@ -56,6 +62,18 @@
 	Epoch   int64  `cbor:"3,keyasint"` // grows with each leader
 	Seq     int64  `cbor:"4,keyasint"` // grows with each commit of one leader
 	Nonce   string `cbor:"5,keyasint"` // random, tells two leaders of the same name apart
+
+	// SilentMS is how long the leader may be silent, and its row unchanged, because a reply to one of its reads fills its
+	// link. It is 0 unless the leader reads the journal.
+	SilentMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// recoverySilence is how long this daemon may be silent while it reads the journal.
+func (n *Node) recoverySilence() time.Duration {
+	if n.settings.LinkSpeed <= 0 {
+		return maxRecoverySilence
+	}
+	return time.Duration(min(maxReplyBytes/n.settings.LinkSpeed, maxRecoverySilence.Seconds()) * float64(time.Second))
 }
 
 // rowObservation records since when the leader row has had its present version.
@@ -86,8 +104,11 @@
 			observed = rowObservation{version: row.Version, since: n.clock.Now(), lost: lost}
 		}
 		ownRow := leader.Name == n.settings.Name // a previous incarnation of this daemon led last
+		silent := false                          // the leader's VM neither answers nor refuses
 		if row.Version != 0 && !ownRow && observed.lost != leader.Nonce && leader.Name != "" {
+			began := n.clock.Now()
 			linked, transfer := n.follow(ctx, leader)
+			silent = n.clock.Now()-began >= linkOpenTimeout.Milliseconds()
 			if transfer != nil {
 				n.acquireAndLead(ctx, leader.Epoch, true)
 				observed = rowObservation{}
@@ -107,6 +128,12 @@
 		// A leader that may still be running gets leaderTimeout; if there is none, only the other candidates
 		// are waited for.
 		wait := leaderTimeout + n.candidacyDelay(leader.Name)
+		if more := min(time.Duration(leader.SilentMS)*time.Millisecond, maxRecoverySilence) - leaderTimeout; silent && more > 0 {
+			if age := n.clock.Now() - observed.since; age >= wait.Milliseconds() {
+				n.log.WithFields(log.Fields{"Leader": leader.Name, "Epoch": leader.Epoch, "UnchangedMS": age, "AllowedMS": (wait + more).Milliseconds()}).Info("SilentLeaderAwaited")
+			}
+			wait += more
+		}
 		if row.Version == 0 && n.settings.FirstRun || ownRow || leader.Name == "" {
 			wait = n.candidacyDelay(leader.Name)
 			if (leader.Name == "" || ownRow) && n.steppedDownAt != 0 && n.clock.Now()-n.steppedDownAt < steppedDownPause.Milliseconds() {
@@ -236,11 +263,11 @@
 	own := t.row // the commit loop changes it
 	// Other daemons wait for a leader whose row changes; reading the journal may take longer than they wait for one
 	// whose row doesn't.
+	n.recovering.Store(true)
 	var wg sync.WaitGroup
 	wg.Go(t.commitLoop)
 	defer wg.Wait()
 	defer cancel()
-	n.recovering.Store(true)
 	e, err := t.recoverCell()
 	n.recovering.Store(false)
 	if err != nil {
@@ -267,7 +294,7 @@
 		if leader.Epoch > epoch && leader.Nonce != nonce {
 			return nil, false // another daemon was first
 		}
-		own := leaderRow{Name: n.settings.Name, Address: n.settings.Address, Epoch: leader.Epoch + 1, Nonce: nonce}
+		own := leaderRow{Name: n.settings.Name, Address: n.settings.Address, Epoch: leader.Epoch + 1, Nonce: nonce, SilentMS: n.recoverySilence().Milliseconds()}
 		version := row.Version
 		if leader.Nonce == nonce { // an earlier attempt has taken effect, though its reply was lost
 			own.Epoch = leader.Epoch
--- a/ibisnode/patience_test.go
+++ b/ibisnode/patience_test.go
@@ -9,21 +9,22 @@
 	"ibiscrank/ibiscell"
 )
 
-// TestPatienceFollowsTheLink checks that daemons wait no longer than usual for a leader if their links are fast, and as long
-// as they would read the journal if they are slow.
+// TestPatienceFollowsTheLink checks that others wait no longer than usual for a leader on a fast link, and how long they
+// wait for one on a slow link, which a reply or the journal fills for longer.
 func TestPatienceFollowsTheLink(t *testing.T) {
 	const journal = 600_000 // bytes, as after a minute on the small twin of limiar-ops-grown
 	for _, tc := range []struct {
-		speed     float64 // bytes per second
-		replaceBy time.Duration
+		speed              float64 // bytes per second
+		silence, replaceBy time.Duration
 	}{
-		{speed: 25e6, replaceBy: replaceAfter},
-		{speed: 1.25e6, replaceBy: 672 * time.Millisecond},
-		{speed: 250_000, replaceBy: 3360 * time.Millisecond},
-		{speed: 1, replaceBy: replaceMax},
-		{speed: 0, replaceBy: replaceAfter},
+		{speed: 25e6, silence: leaderTimeout, replaceBy: replaceAfter},
+		{speed: 1.25e6, silence: 838 * time.Millisecond, replaceBy: 672 * time.Millisecond},
+		{speed: 250_000, silence: maxRecoverySilence, replaceBy: 3360 * time.Millisecond},
+		{speed: 1, silence: maxRecoverySilence, replaceBy: replaceMax},
+		{speed: 0, silence: maxRecoverySilence, replaceBy: replaceAfter},
 	} {
 		n := &Node{settings: Settings{LinkSpeed: tc.speed}}
+		assert.Equal(t, max(leaderTimeout, n.recoverySilence()).Truncate(time.Millisecond), tc.silence, "%+v", tc)
 		assert.Equal(t, max(replaceAfter, n.journalReadTime(journal)).Truncate(time.Millisecond), tc.replaceBy, "%+v", tc)
 	}
 }
--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -50,6 +50,32 @@
 	g.assertRanOnce()
 }
 
+// Guards against waiting for a leader that has ended while it read the journal as if it were silent.
+func TestLeaderThatEndsWhileItReadsTheJournalIsReplacedAtOnce(t *testing.T) {
+	g := newGroup(t, 1, 1, 1, 1)
+	g.table.setScan(3*time.Second, true)
+	old := g.leader()
+	old.stop()
+	g.members = g.others(old)
+	reading := func() *member {
+		for _, m := range g.members {
+			if m.table.scans.Load() > 0 {
+				return m
+			}
+		}
+		return nil
+	}
+	ibisharness.Eventually(t, 5*time.Second, "another reads the journal", func() bool { return reading() != nil })
+	next := reading()
+	go next.stop() // waits for the scans
+	next.link.Restore()
+	g.members = g.others(next)
+	ibisharness.Eventually(t, 2*time.Second, "a third one reads the journal", func() bool { return reading() != nil })
+	g.table.setScan(0, false)
+	g.awaitServing(g.members...)
+	g.assertRanOnce()
+}
+
 // Guards against a leader that is replaced for a pause between its commits, such as links that all open at once cause on
 // a slow link, when its replacement would read the journal for longer. One that cannot write at all is replaced.
 func TestLeaderIsGivenAsLongAsItsReplacementWouldTake(t *testing.T) {
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -337,6 +337,9 @@
 // arrives late has no effect.
 func (t *term) commit(b *ibiscell.Batch) error {
 	t.row.Seq++
+	if !t.n.recovering.Load() {
+		t.row.SilentMS = 0
+	}
 	value, err := cbor.Marshal(t.row)
 	if err != nil {
 		return Error.Wrap(err)
