--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -37,8 +37,18 @@
 	// slowReadThreshold is ten times the usual time of a read; a table that takes longer is slow for all daemons.
 	slowReadThreshold = 100 * time.Millisecond
 	getTimeout        = 1500 * time.Millisecond
-	scanTimeout       = 4 * time.Second
-	acquireAttempts   = 6
+	// recoverTimeout is how long a new leader may take to read the journal: 1.5 MB over 2 Mbit/s, or as long as others may
+	// be without a leader. A read that stands still ends earlier.
+	recoverTimeout  = 12 * time.Second
+	acquireAttempts = 6
+	// maxReplyBytes is the most that the platform's table sends in one reply. While it fills the link of a daemon, nothing
+	// else arrives.
+	maxReplyBytes = 1 << 20
+	// maxRecoverySilence limits how long a new leader is waited for that is silent while it reads the journal: the time of
+	// such a reply over 2 Mbit/s, the slowest link of all known deployments.
+	maxRecoverySilence = 4 * time.Second
+	// wireFactor is the ratio of a row's size in the table's replies, as base64 with its names, to that of its value.
+	wireFactor = 1.4
 	// recoveringPause is the time between attempts to link to a leader that reads the journal.
 	recoveringPause = 400 * time.Millisecond
 	maxPeersAsked   = 3 // daemons that are asked for the leader in one round
@@ -52,6 +62,18 @@
 	Epoch   int64  `cbor:"3,keyasint"` // grows with each leader
 	Seq     int64  `cbor:"4,keyasint"` // grows with each commit of one leader
 	Nonce   string `cbor:"5,keyasint"` // random, tells two leaders of the same name apart
+
+	// SilentMS is how long the leader may be silent, and its row unchanged, because a reply to one of its reads fills its
+	// link. It is 0 unless the leader reads the journal.
+	SilentMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// recoverySilence is how long this daemon may be silent while it reads the journal.
+func (n *Node) recoverySilence() time.Duration {
+	if n.settings.LinkSpeed <= 0 {
+		return maxRecoverySilence
+	}
+	return time.Duration(min(maxReplyBytes/n.settings.LinkSpeed, maxRecoverySilence.Seconds()) * float64(time.Second))
 }
 
 // rowObservation records since when the leader row has had its present version.
@@ -82,8 +104,11 @@
 			observed = rowObservation{version: row.Version, since: n.clock.Now(), lost: lost}
 		}
 		ownRow := leader.Name == n.settings.Name // a previous incarnation of this daemon led last
+		silent := false                          // the leader's VM neither answers nor refuses
 		if row.Version != 0 && !ownRow && observed.lost != leader.Nonce && leader.Name != "" {
+			began := n.clock.Now()
 			linked, transfer := n.follow(ctx, leader)
+			silent = n.clock.Now()-began >= linkOpenTimeout.Milliseconds()
 			if transfer != nil {
 				n.acquireAndLead(ctx, leader.Epoch, true)
 				observed = rowObservation{}
@@ -103,6 +128,12 @@
 		// A leader that may still be running gets leaderTimeout; if there is none, only the other candidates
 		// are waited for.
 		wait := leaderTimeout + n.candidacyDelay(leader.Name)
+		if more := min(time.Duration(leader.SilentMS)*time.Millisecond, maxRecoverySilence) - leaderTimeout; silent && more > 0 {
+			if age := n.clock.Now() - observed.since; age >= wait.Milliseconds() {
+				n.log.WithFields(log.Fields{"Leader": leader.Name, "Epoch": leader.Epoch, "UnchangedMS": age, "AllowedMS": (wait + more).Milliseconds()}).Info("SilentLeaderAwaited")
+			}
+			wait += more
+		}
 		if row.Version == 0 && n.settings.FirstRun || ownRow || leader.Name == "" {
 			wait = n.candidacyDelay(leader.Name)
 			if (leader.Name == "" || ownRow) && n.steppedDownAt != 0 && n.clock.Now()-n.steppedDownAt < steppedDownPause.Milliseconds() {
@@ -170,8 +201,9 @@
 	f.mu.Lock()
 	age := f.lastPong.CommitAgeMS + n.clock.Now() - f.lastPong.At
 	commitTime := time.Duration(f.lastPong.CommitMS) * time.Millisecond
+	journalBytes := f.lastPong.JournalBytes
 	f.mu.Unlock()
-	allowed := n.replacementDelay(commitTime) + n.candidacyDelay(f.leader.Name)
+	allowed := max(n.replacementDelay(commitTime), n.journalReadTime(journalBytes)) + n.candidacyDelay(f.leader.Name)
 	if age < allowed.Milliseconds() || n.isDraining() {
 		return false
 	}
@@ -207,6 +239,16 @@
 	return min(d, replaceMax)
 }
 
+// journalReadTime is how long the journal takes over this daemon's link. A leader that can be reached is given as long to
+// commit, since nobody is served while its replacement reads the journal.
+func (n *Node) journalReadTime(journalBytes int64) time.Duration {
+	if n.settings.LinkSpeed <= 0 {
+		return 0
+	}
+	seconds := wireFactor * float64(journalBytes) / n.settings.LinkSpeed
+	return min(time.Duration(seconds*float64(time.Second)), replaceMax)
+}
+
 // acquireAndLead tries to acquire leadership from the leader of the given epoch, and leads the cell until the
 // term is over. Requested says that this daemon was told to replace the leader, or decided to while linked.
 func (n *Node) acquireAndLead(ctx context.Context, epoch int64, requested bool) {
@@ -221,11 +263,11 @@
 	own := t.row // the commit loop changes it
 	// Other daemons wait for a leader whose row changes; reading the journal may take longer than they wait for one
 	// whose row doesn't.
+	n.recovering.Store(true)
 	var wg sync.WaitGroup
 	wg.Go(t.commitLoop)
 	defer wg.Wait()
 	defer cancel()
-	n.recovering.Store(true)
 	e, err := t.recoverCell()
 	n.recovering.Store(false)
 	if err != nil {
@@ -234,7 +276,7 @@
 		return
 	}
 	t.startedAt = t.n.clock.Now()
-	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired}).Info("LeadTaken")
+	t.log.WithFields(log.Fields{"Asked": requested, "TakeMS": acquired - began, "RecoverMS": n.clock.Now() - acquired, "CommitMSAgo": n.clock.Now() - t.commitAt.Load()}).Info("LeadTaken")
 	n.recordLeader(own)
 	t.lead(e)
 }
@@ -252,7 +294,7 @@
 		if leader.Epoch > epoch && leader.Nonce != nonce {
 			return nil, false // another daemon was first
 		}
-		own := leaderRow{Name: n.settings.Name, Address: n.settings.Address, Epoch: leader.Epoch + 1, Nonce: nonce}
+		own := leaderRow{Name: n.settings.Name, Address: n.settings.Address, Epoch: leader.Epoch + 1, Nonce: nonce, SilentMS: n.recoverySilence().Milliseconds()}
 		version := row.Version
 		if leader.Nonce == nonce { // an earlier attempt has taken effect, though its reply was lost
 			own.Epoch = leader.Epoch
@@ -280,7 +322,7 @@
 	t := &term{
 		n: n, row: row, version: version, log: n.log.WithField("Epoch", row.Epoch),
 		events: make(chan func(*ibiscell.Engine), maxPendingEvents), batches: make(chan *ibiscell.Batch, 1), done: make(chan struct{}),
-		links: make(map[*link]bool), unreached: make(map[string]bool), pending: make(map[uint64]func(Reply)),
+		journal: make(map[journalKey]int), links: make(map[*link]bool), unreached: make(map[string]bool), pending: make(map[uint64]func(Reply)),
 		openLoggedAt: make(map[string]ibiscell.Time), configParts: make(chan struct{}, maxConfigParts), configWanted: make(chan struct{}, 1),
 	}
 	t.commitAt.Store(n.clock.Now())
@@ -290,8 +332,9 @@
 // recoverCell restores the engine from the cell's journal, the configuration and the list of backend servers,
 // which are read concurrently.
 func (t *term) recoverCell() (*ibiscell.Engine, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, scanTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, recoverTimeout)
 	defer cancel()
+	began := t.n.clock.Now()
 	var wg sync.WaitGroup
 	var servers []ibiscell.ServerInfo
 	rows := make(map[string][]ibiscell.Row)
@@ -334,6 +377,10 @@
 	settings.Epoch = t.row.Epoch
 	e := ibiscell.New(settings, t.log)
 	now := t.n.clock.Now()
+	for _, list := range rows {
+		t.trackJournal(list, nil) // the committing goroutine has no batch yet
+	}
+	t.log.WithFields(log.Fields{"Rows": len(t.journal), "KB": t.journalBytes.Load() >> 10, "ReadMS": now - began, "CommitMSAgo": now - t.commitAt.Load()}).Info("JournalRead")
 	e.SetUnixTime(now, t.n.clock.UnixMS())
 	if cfg := t.n.Config(); cfg != nil {
 		e.SetConfig(cfg)
