ibisnode: pongs bring only the counts of waiting jobs that changed

Cause: newPong put the counts of all queues with waiting jobs into every pong, four times a second on each link, though they are counted once a second. A pong takes as long as its counts: on a slow link longer than pongTimeout, and the new link gets the same pongs.

Now the counts go beside the pong (key 20 of the frame), as members and the configuration do: only what differs from what was sent on that link, in order of the names, at most 4 KiB with a pong, with the newest values, and no more before a ping shows that the last ones have arrived (PongAt). So a pong is behind 4 KiB of counts on its own link, and behind 4 KiB for each other link that shares the leader's. They are a list in the frame, since merging frames keeps one pong only.

Age: only Node.WaitingJobs uses the counts (the call for a queue's count; no submission is refused by them). Each part says which range of names it covers and when these were counted, on the follower's clock. A count is shown while the last pong is younger than maxPongAge, as before, and the count is younger than maxCountsAge+maxPongAge, the most it could be before. A range that has not come yet is unknown, not 0. A new link starts from nothing; a leader whose counts are too old sends none, and the follower refuses at once.

Ruled out: compressing the whole (moves the limit); whole counts once a second (63 KB at once take 0.37 s of 171 KB/s, 0.25 s of 2 Mbit/s, on every link of the leader at once); a pass over all queues that counts as fresh only when complete (never, if more change each second than fit); parts without PongAt (a leader on 2 Mbit/s with 20 links would get more than it can send, by arithmetic).

Pings and pongs carry nothing else that grows: numbers only.

Versions: key 5 of the pong is gone and not used again. The platform's daemons are all stopped before a new version starts (docs/OPERATIONS.md).

Open: with 4,200 queues of long, unlike names, or more changes than 16 KB a second, part of the counts is older than is shown and is refused meanwhile. A daemon whose outbox dropped a part gets no counts until its next link; no test. Queues without jobs stay in the leader's list until its term ends.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -125,8 +125,9 @@
 	case f != nil:
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		fresh := n.clock.Now()-f.lastPong.At < maxPongAge.Milliseconds() && f.lastPong.WaitingJobs != nil
-		return f.lastPong.WaitingJobs[queue], fresh
+		now := n.clock.Now()
+		count, known := f.counts.count(queue, now)
+		return count, known && now-f.lastPong.At < maxPongAge.Milliseconds()
 	}
 	return 0, false
 }
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -51,6 +51,7 @@
 	Recovering    bool                `cbor:"17,keyasint,omitempty"` // the sender has acquired leadership and reads the journal
 	ConfigParts   []configPart        `cbor:"18,keyasint,omitempty"`
 	ConfigAcks    []configAck         `cbor:"19,keyasint,omitempty"`
+	Counts        []countsPart        `cbor:"20,keyasint,omitempty"` // with a pong, in order; none: unknown
 }
 
 // hello opens a link.
@@ -89,17 +90,17 @@
 	At       ibiscell.Time `cbor:"1,keyasint"`           // when it was sent, on the follower's clock
 	Version  int64         `cbor:"2,keyasint"`           // of the follower's configuration
 	Draining bool          `cbor:"3,keyasint,omitempty"` // the follower is being stopped
+	PongAt   ibiscell.Time `cbor:"4,keyasint,omitempty"` // At of the last pong
 }
 
 // pong answers a ping with the leader's status.
 type pong struct {
-	At          ibiscell.Time  `cbor:"1,keyasint"` // of the ping, on the follower's clock
-	Version     int64          `cbor:"2,keyasint"` // of the leader's configuration
-	ConfigAgeMS int64          `cbor:"3,keyasint"` // since the leader began the read that last confirmed it
-	CommitAgeMS int64          `cbor:"4,keyasint"` // since the leader's last commit
-	WaitingJobs map[string]int `cbor:"5,keyasint"` // accepted jobs without a started task, by queue; nil: unknown
-	Now         ibiscell.Time  `cbor:"6,keyasint"` // when it was sent, on the leader's clock
-	CommitMS    int64          `cbor:"7,keyasint"` // average time of the leader's commits
+	At          ibiscell.Time `cbor:"1,keyasint"` // of the ping, on the follower's clock
+	Version     int64         `cbor:"2,keyasint"` // of the leader's configuration
+	ConfigAgeMS int64         `cbor:"3,keyasint"` // since the leader began the read that last confirmed it
+	CommitAgeMS int64         `cbor:"4,keyasint"` // since the leader's last commit; key 5 was the counts of all queues
+	Now         ibiscell.Time `cbor:"6,keyasint"` // when it was sent, on the leader's clock
+	CommitMS    int64         `cbor:"7,keyasint"` // average time of the leader's commits
 }
 
 // leadershipTransfer asks the receiver to acquire leadership from the sender at once.
@@ -120,6 +121,7 @@
 	f.MemberChanges = append(f.MemberChanges, o.MemberChanges...)
 	f.ConfigParts = append(f.ConfigParts, o.ConfigParts...)
 	f.ConfigAcks = append(f.ConfigAcks, o.ConfigAcks...)
+	f.Counts = append(f.Counts, o.Counts...)
 	if o.Hello != nil {
 		f.Hello = o.Hello
 	}
@@ -146,6 +148,6 @@
 
 // onlyRelayed reports whether f contains nothing but orders to a relay, or their results.
 func (f *frame) onlyRelayed() bool {
-	return len(f.Orders)+len(f.Results) > 0 && len(f.Requests)+len(f.Replies)+len(f.Advise)+len(f.AdviceResults)+len(f.ScoutReports)+len(f.MemberChanges)+len(f.ConfigParts)+len(f.ConfigAcks) == 0 &&
+	return len(f.Orders)+len(f.Results) > 0 && len(f.Requests)+len(f.Replies)+len(f.Advise)+len(f.AdviceResults)+len(f.ScoutReports)+len(f.MemberChanges)+len(f.ConfigParts)+len(f.ConfigAcks)+len(f.Counts) == 0 &&
 		f.Hello == nil && f.Ping == nil && f.Pong == nil && f.Transfer == nil && f.Members == nil && f.Leader == nil && f.Scout == nil
 }
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -46,11 +46,14 @@
 	pending   map[uint64]pendingOrder // orders without an outcome, by number
 	lastOrder uint64
 
-	running map[int][]runningRecord // what each server runs, by target; owned by the goroutine that reads the link
+	// Owned by the goroutine that reads the link.
+	running    map[int][]runningRecord // what each server runs, by target
+	counts     sentCounts
+	countsLost bool // counts were dropped: those of the other daemon are unknown
 }
 
 func newLink(m member) *link {
-	return &link{member: m, out: newOutbox(), done: make(chan struct{}), configAcks: make(chan configAck, maxConfigAcks), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord)}
+	return &link{member: m, out: newOutbox(), done: make(chan struct{}), configAcks: make(chan configAck, maxConfigAcks), targets: make(map[ibiscell.Target]int), pending: make(map[uint64]pendingOrder), running: make(map[int][]runningRecord), counts: sentCounts{told: make(map[string]int)}}
 }
 
 // serveLink serves a link that another daemon has opened. A daemon that doesn't lead, or leads with a lower epoch
@@ -176,21 +179,19 @@
 		l.draining.Store(f.Ping.Draining)
 		l.recordPeerConfig(f.Ping.Version)
 		t.offerConfig(l)
-		l.out.put(&frame{Pong: t.newPong(f.Ping)})
+		answer := &frame{Pong: t.newPong(f.Ping)}
+		if !l.countsLost {
+			answer.Counts = t.newCounts(l, f.Ping)
+		}
+		l.countsLost = !l.out.put(answer) || l.countsLost
 	}
 }
 
-// newPong answers a ping. Counts of waiting jobs that are too old are left out.
+// newPong answers a ping.
 func (t *term) newPong(p *ping) *pong {
 	now := t.n.clock.Now()
 	confirmedAt, version := t.n.configStatus()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS()}
-	if now-t.countedAt < maxCountsAge.Milliseconds() {
-		out.WaitingJobs = t.waitingJobs
-	}
-	return out
+	return &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS()}
 }
 
 // follower is the other end of a link: it carries this daemon's requests to the leader.
@@ -206,6 +207,7 @@
 	closed   bool
 	pongAt   ibiscell.Time // arrival of lastPong
 	lastPong pong
+	counts   shownCounts
 
 	received     func() int64 // bytes that have arrived on the link
 	linkAtPong   int64        // value of received at pongAt
@@ -256,7 +258,7 @@
 		return false, nil
 	}
 	defer closeLink()
-	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), running: make(map[int][]runningRecord), pongAt: n.clock.Now()}
+	f := &follower{n: n, leader: leader, out: newOutbox(), pending: make(map[uint64]func(Reply)), running: make(map[int][]runningRecord), pongAt: n.clock.Now(), counts: shownCounts{counts: make(map[string]int)}}
 	f.received, f.bodiesAtPong = s.Received, n.bodiesReceived()
 	f.lastPong.At = f.pongAt // until the first pong, the leader counts as healthy, with a commit just now
 	f.out.put(&frame{Hello: &hello{Member: n.member(), Epoch: leader.Epoch}, Ping: f.newPing()})
@@ -327,7 +329,10 @@
 
 func (f *follower) newPing() *ping {
 	_, version := f.n.configStatus()
-	return &ping{At: f.n.clock.Now(), Version: version, Draining: f.n.isDraining()}
+	f.mu.Lock()
+	pongAt := f.lastPong.At
+	f.mu.Unlock()
+	return &ping{At: f.n.clock.Now(), Version: version, Draining: f.n.isDraining(), PongAt: pongAt}
 }
 
 // handleFrame handles a message of the leader.
@@ -363,6 +368,7 @@
 		f.mu.Lock()
 		f.pongAt, f.lastPong = f.n.clock.Now(), *p
 		f.linkAtPong, f.bodiesAtPong = f.received(), f.n.bodiesReceived()
+		f.handleCounts(m.Counts)
 		f.mu.Unlock()
 		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS)
 	}
--- a/ibisnode/pong_test.go
+++ b/ibisnode/pong_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"ibiscrank/ibiscell"
+	"ibiscrank/ibisharness"
 	"ibiscrank/ibisjob"
 	"ibiscrank/ibisnode"
 	"ibiscrank/ibiswork"
@@ -76,3 +77,33 @@
 	lost := g.count("LeaderLost") - before
 	assert.Assert(t, lost == 0, "the leader was lost %d times", lost)
 }
+
+// Guards against links that break again because the counts that a new link begins with fill it, and against wrong counts
+// until they have come.
+func TestNewLinksGetTheWaitingJobsOfManyQueues(t *testing.T) {
+	const queues = 4200
+	g := newGroup(t, 1, 0.2, 0.2, 0.2)
+	g.submitToIdleService(queues)
+	time.Sleep(2500 * time.Millisecond) // older counts are not shown
+	link := g.leader().link
+	link.Cut()
+	link.Restore()
+	link.Limit(64)
+	g.awaitServing(g.members...)
+	before := g.count("LeaderLost")
+	ibisharness.Eventually(t, 10*time.Second, "all counts are known", func() bool {
+		known := 0
+		for _, m := range g.members {
+			for n := range queues {
+				if count, ok := m.WaitingJobs(fmt.Sprintf("queue-%07d", n)); ok {
+					known++
+					assert.Assert(t, count == 1, "%s: queue %d has %d waiting jobs", m.name, n, count)
+				}
+			}
+		}
+		return known == queues*len(g.members)
+	})
+	time.Sleep(3 * time.Second)
+	lost := g.count("LeaderLost") - before
+	assert.Assert(t, lost == 0, "the leader was lost %d times", lost)
+}
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -67,6 +67,7 @@
 	unreached      map[string]bool        // daemons whose link has closed although they may still be running
 	waitingJobs    map[string]int         // accepted jobs without a started task, by queue
 	countedAt      ibiscell.Time          // when waitingJobs were counted
+	countedQueues  []string               // keys of waitingJobs, sorted
 	loadReports    int                    // number of calls of reportLoad
 	membersChanged bool                   // since the members were last sent to the linked daemons
 	knownMembers   map[string]member      // as last sent, by name
@@ -201,7 +202,7 @@
 func (t *term) reportLoad(e *ibiscell.Engine) {
 	counts := e.WaitingJobs()
 	t.mu.Lock()
-	t.waitingJobs, t.countedAt = counts, t.n.clock.Now()
+	t.setCounts(counts)
 	links := len(t.links)
 	t.mu.Unlock()
 	t.broadcastMembers()
