--- a/ibiscell/changes.go
+++ b/ibiscell/changes.go
@@ -10,11 +10,33 @@
 
 // changeRow is the value of a row of TableChanges. The rows are applied in the order of their keys.
 type changeRow struct {
+	_        struct{} `cbor:",toarray"`
+	Servers  []ServerRef
+	Jobs     []jobChange
+	Settings []settingsChange
+}
+
+// bareChangeRow is the value of a row without settings, as earlier versions wrote it.
+type bareChangeRow struct {
 	_       struct{} `cbor:",toarray"`
 	Servers []ServerRef
 	Jobs    []jobChange
 }
 
+// decodeChangeRow decodes the value of a row of TableChanges.
+func decodeChangeRow(b []byte) (changeRow, error) {
+	var row changeRow
+	err := cbor.Unmarshal(b, &row)
+	if err == nil {
+		return row, nil
+	}
+	var bare bareChangeRow
+	if cbor.Unmarshal(b, &bare) != nil {
+		return changeRow{}, err
+	}
+	return changeRow{Servers: bare.Servers, Jobs: bare.Jobs}, nil
+}
+
 // ServerRef identifies one incarnation of a backend server.
 type ServerRef struct {
 	_           struct{} `cbor:",toarray"`
@@ -159,8 +181,9 @@
 type changeWriter struct {
 	bytes   int // estimated size of all rows
 	rows    []*changeRow
-	jobs    [][]*job // by row: the jobs whose changes it contains
-	size    int      // estimated size of the last row
+	jobs    [][]*job          // by row: the jobs whose changes it contains
+	kept    [][]*keptSettings // by row: whose settings it contains
+	size    int               // estimated size of the last row
 	servers map[ServerRef]int
 	job     *job       // whose changes are being added
 	change  *jobChange // of job in the last row; nil: none yet
@@ -245,10 +268,7 @@
 // beginChange makes sure that the last row contains a change of the job and has room for size more bytes. A
 // change that does not fit continues in another row.
 func (w *changeWriter) beginChange(size int) {
-	if len(w.rows) == 0 || w.size+size+jobChangeBytes > maxChangeRowBytes && w.size > 0 {
-		w.rows, w.jobs = append(w.rows, &changeRow{}), append(w.jobs, nil)
-		w.size, w.servers, w.change = 0, make(map[ServerRef]int), nil
-	}
+	w.reserve(size + jobChangeBytes)
 	if w.change != nil {
 		return
 	}
@@ -259,6 +279,24 @@
 	w.grow(jobChangeBytes + size)
 }
 
+// reserve makes sure that the last row has room for size more bytes.
+func (w *changeWriter) reserve(size int) {
+	if len(w.rows) == 0 || w.size+size > maxChangeRowBytes && w.size > 0 {
+		w.rows, w.jobs, w.kept = append(w.rows, &changeRow{}), append(w.jobs, nil), append(w.kept, nil)
+		w.size, w.servers, w.change = 0, make(map[ServerRef]int), nil
+	}
+}
+
+// addSettings adds the settings of a queue or a team.
+func (w *changeWriter) addSettings(k *keptSettings) {
+	size := settingsChangeBytes + len(k.key.name) + len(k.saved)
+	w.reserve(size)
+	n := len(w.rows) - 1
+	w.rows[n].Settings = append(w.rows[n].Settings, settingsChange{Kind: k.key.kind, Name: k.key.name, Value: k.saved})
+	w.kept[n] = append(w.kept[n], k)
+	w.grow(size)
+}
+
 // occurrence returns the change of occurrence n of the job.
 func (w *changeWriter) occurrence(n int) *occurrenceChange {
 	w.beginChange(stepChangeBytes)
--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -101,6 +101,7 @@
 	sorted   []*server // servers by ID; nil: to be sorted again
 	jobs     map[ibisjob.ID]*job
 	ended    map[ibisjob.ID]Ended
+	kept     map[settingsKey]*keptSettings // of the queues and teams with jobs in the journal
 
 	ready         []*step // steps with tasks that wait for placement
 	scheduled     []*job  // jobs with occurrences that have not started yet
@@ -127,6 +128,8 @@
 	limit  ibiswork.Resources // upper limit; 0: the resource is not limited
 	used   ibiswork.Resources
 
+	configured bool // a configuration, or the journal, has contained it
+
 	submitTokens float64 // token bucket of submissions; an empty one matters only while the cell is overloaded
 	tokensAt     Time    // when submitTokens was last refilled
 }
@@ -142,12 +145,13 @@
 		servers:     make(map[string]*server),
 		jobs:        make(map[ibisjob.ID]*job),
 		ended:       make(map[ibisjob.ID]Ended),
+		kept:        make(map[settingsKey]*keptSettings),
 		adviceCalls: make(map[int64]*adviceCall),
 	}
 }
 
-// SetConfig applies cfg if its version is newer than the current one. Queues that cfg no longer contains
-// keep their last settings for the jobs that still belong to them.
+// SetConfig applies cfg if its version is newer than the current one. Queues and teams that cfg no longer contains
+// keep their last settings for the jobs that still belong to them; the journal contains these for the next leader.
 func (e *Engine) SetConfig(cfg *ibisjob.Config) {
 	if cfg.Version <= e.cfg.Version {
 		return
@@ -155,10 +159,12 @@
 	e.cfg = cfg
 	for _, q := range cfg.Queues {
 		e.queues[q.Name] = q
+		e.settingsChanged(settingsKey{queueKind, q.Name})
 	}
 	for _, t := range cfg.Teams {
 		tm := e.team(t.Name)
-		tm.weight, tm.limit = t.Weight, t.UpperLimit
+		tm.weight, tm.limit, tm.configured = t.Weight, t.UpperLimit, true
+		e.settingsChanged(settingsKey{teamKind, t.Name})
 	}
 	e.placementDue = true
 	e.log.WithField("Version", cfg.Version).Info("CellConfigApplied")
--- a/ibiscell/job.go
+++ b/ibiscell/job.go
@@ -32,6 +32,7 @@
 	savedOccurrence int   // nextOccurrence
 	doneOccurrences []int // written occurrences that are done since
 	rows            []*changeRowRef
+	keepsSettings   bool // it counts among the jobs of its queue and its team in Engine.kept
 }
 
 // occurrence is one execution of all steps of a job.
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -67,10 +67,11 @@
 type changeRowRef struct {
 	table string
 	key   string
-	atMS  int64  // Unix time at which it was written or recovered
-	since int64  // Unix time before which it was not written
-	jobs  []*job // whose changes it contains
-	live  int    // number of jobs that still depend on it
+	atMS  int64           // Unix time at which it was written or recovered
+	since int64           // Unix time before which it was not written
+	jobs  []*job          // whose changes it contains
+	kept  []*keptSettings // whose settings it contains
+	live  int             // number of jobs and settings that still depend on it
 }
 
 // journal tracks uncommitted changes. Changes are numbered in order; jobs are written in the order of their
@@ -78,6 +79,7 @@
 type journal struct {
 	lastChange       int64
 	queue            []*job
+	settings         []*keptSettings // those that may have changed since they were written
 	rows             []*changeRowRef // rows of Changes, oldest first; those without live jobs are dropped lazily
 	liveRows         int             // rows with live jobs
 	writtenRows      int64           // rows of Changes written by this leader
@@ -158,7 +160,7 @@
 
 // HasUncommitted reports whether there are changes that are not part of a batch yet, or rows to rewrite.
 func (e *Engine) HasUncommitted() bool {
-	return len(e.journal.queue) > 0 || len(e.journal.removes) > 0 || e.rowToRewrite() != nil
+	return len(e.journal.queue) > 0 || len(e.journal.settings) > 0 || len(e.journal.removes) > 0 || e.rowToRewrite() != nil
 }
 
 // TakeBatch returns the changes to commit next, or nil if there are none or a batch is in flight. The
@@ -186,6 +188,7 @@
 		b.Puts = append(b.Puts, Row{TableEnded, key, encode(list)})
 		e.trackEndedRow(key, list)
 	}
+	e.addChangedSettings(&w)
 	e.rewriteOldest(&w)
 	e.putChanges(b, &w)
 	removed := min(MaxBatchRows-len(b.Puts), len(e.journal.removes))
@@ -200,9 +203,11 @@
 	if j.state.Final() {
 		b.ended = append(b.ended, endedJob{ID: j.spec.ID, End: j.endedRecord(e.unixOffset + e.now)})
 		e.releaseRows(j)
+		e.dropSettings(j)
 	} else {
 		if !j.written {
 			e.releaseRows(j)
+			e.keepSettings(w, j)
 		}
 		w.addJob(j)
 	}
@@ -221,6 +226,10 @@
 		for _, j := range w.jobs[n] {
 			ref.add(j)
 		}
+		for _, k := range w.kept[n] {
+			k.row = ref
+			ref.addSettings(k)
+		}
 		e.journal.track(ref)
 		b.Puts = append(b.Puts, Row{TableChanges, ref.key, encode(w.rows[n])})
 	}
@@ -239,19 +248,29 @@
 	r.live++
 }
 
+// addSettings records that the settings of k depend on the row.
+func (r *changeRowRef) addSettings(k *keptSettings) {
+	r.kept = append(r.kept, k)
+	r.live++
+}
+
 // releaseRows records that j no longer depends on the rows written so far, and queues those for removal that no
 // other job depends on. The batch that is being made must make them obsolete.
 func (e *Engine) releaseRows(j *job) {
 	for _, r := range j.rows {
-		if r.live--; r.live == 0 {
-			r.jobs = nil
-			e.journal.liveRows--
-			e.journal.removes = append(e.journal.removes, Row{Table: r.table, Key: r.key})
-		}
+		e.releaseRow(r)
 	}
 	j.rows = nil
 }
 
+func (e *Engine) releaseRow(r *changeRowRef) {
+	if r.live--; r.live == 0 {
+		r.jobs, r.kept = nil, nil
+		e.journal.liveRows--
+		e.journal.removes = append(e.journal.removes, Row{Table: r.table, Key: r.key})
+	}
+}
+
 // oldest returns the oldest row that a live job depends on, or nil.
 func (jn *journal) oldest() *changeRowRef {
 	n := 0
@@ -278,7 +297,7 @@
 	return nil
 }
 
-// rewriteOldest writes the jobs again that depend on the oldest rows, so that these can be removed.
+// rewriteOldest writes the jobs and settings again that depend on the oldest rows, so that these can be removed.
 func (e *Engine) rewriteOldest(w *changeWriter) {
 	limit := w.bytes + maxRewriteBytes
 	for r := e.rowToRewrite(); r != nil && w.bytes < limit; r = e.rowToRewrite() {
@@ -290,6 +309,11 @@
 			j.written = false
 			w.addJob(j)
 		}
+		for _, k := range r.kept {
+			if k.row == r {
+				e.addSettings(w, k)
+			}
+		}
 	}
 }
 
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -44,10 +44,12 @@
 	}
 	slices.SortFunc(e.journal.endedRows, func(a, b endedRow) int { return cmp.Compare(a.atMS, b.atMS) })
 	records := e.readOutdated(tables[TableJobs], tables[TableProgress])
-	e.readChanges(tables[TableChanges], records)
+	logged := e.readChanges(tables[TableChanges], records)
+	e.recoverSettings(records, logged)
 	for _, id := range slices.Sorted(maps.Keys(records)) {
 		e.recoverJob(records[id])
 	}
+	e.trackSettings(logged)
 	for _, r := range e.journal.rows {
 		if r.live == 0 {
 			e.journal.liveRows--
@@ -59,16 +61,17 @@
 	}).Info("CellRecovered")
 }
 
-// readChanges applies the rows of Changes to the records, in order.
-func (e *Engine) readChanges(rows []Row, records map[ibisjob.ID]*jobRecord) {
+// readChanges applies the rows of Changes to the records, in order, and returns the last settings in them.
+func (e *Engine) readChanges(rows []Row, records map[ibisjob.ID]*jobRecord) map[settingsKey]loggedSettings {
+	logged := make(map[settingsKey]loggedSettings)
 	rows = slices.Clone(rows)
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 	// A row was written after the jobs in the rows before it had been accepted.
 	since := int64(0)
 	incomplete := make(map[ibisjob.ID]Row) // jobs of which only later changes have been read
 	for _, row := range rows {
-		var changes changeRow
-		if err := cbor.Unmarshal(row.Value, &changes); err != nil {
+		changes, err := decodeChangeRow(row.Value)
+		if err != nil {
 			e.logUnreadable(row, err)
 			continue
 		}
@@ -79,6 +82,9 @@
 		}
 		ref := &changeRowRef{table: row.Table, key: row.Key, atMS: e.unixOffset + e.now, since: since}
 		e.journal.track(ref)
+		for _, s := range changes.Settings {
+			logged[settingsKey{s.Kind, s.Name}] = loggedSettings{value: s.Value, row: ref}
+		}
 		for n := range changes.Jobs {
 			c := &changes.Jobs[n]
 			if _, ended := e.ended[c.ID]; ended {
@@ -99,6 +105,7 @@
 			e.logUnreadable(row, Error.New("no row describes job %s, which has changes", id))
 		}
 	}
+	return logged
 }
 
 // applyChange applies one change of a job to its record. The job has a record, or the change describes all of it.
@@ -166,6 +173,9 @@
 	}
 	j.reportedState = j.state
 	e.jobs[spec.ID] = j
+	if j.written {
+		e.keepSettings(nil, j)
+	}
 	if rec.outdated {
 		e.markDirty(j, nil)
 	}
