ibiscell: a job of a queue that the leader does not know is refused

A daemon that still goes by the configuration before accepts a call for a removed queue and sends it to a new leader that has never known the queue. The leader answered 2xx; no daemon knows the service, so the job stayed Queued for ever (LOST).

Cause: the queue is looked up only where the call comes in, and Submit took any.

Before (this test, first as a trial that waited for the job's end): Queued != Completed; as it stands: kept_test.go:131: OK != Rejected

Change: Submit refuses such a job at once, with a second to come back, as JobRefusedUnknownQueue.

Weighed: sending the queue's settings with each request (more bytes a call, and a daemon that is behind would decide). The price: a call for a new queue at a daemon that is ahead of the leader is refused until the leader, which reads the configuration twice a second (a large one whenever its changes are seen), has it; before, the job was accepted and waited.

--- a/ibiscell/caller.go
+++ b/ibiscell/caller.go
@@ -8,6 +8,7 @@
 
 const (
 	tableRetryMS      = 1500 // retry delay for callers while the table cannot be written
+	configRetryMS     = 1000 // retry delay for callers while daemons have different configurations; the leader reads it twice a second
 	commitOverdueMS   = 700  // the table counts as unavailable when a commit takes longer
 	recentCommitMS    = 800  // a leader commits four times a second; after a longer gap it may be stale
 	submitBurstS      = 2    // size of a team's token bucket, in seconds of its refill
@@ -32,6 +33,11 @@
 		e.send(Answer{To: to, Outcome: Rejected, RetryMS: tableRetryMS})
 		return
 	}
+	if _, ok := e.queues[spec.Queue]; !ok { // the job could not be placed, and if the queue has been removed, never
+		e.log.WithFields(log.Fields{"Job": string(spec.ID), "Queue": spec.Queue, "Version": e.cfg.Version}).Info("JobRefusedUnknownQueue")
+		e.send(Answer{To: to, Outcome: Rejected, RetryMS: configRetryMS})
+		return
+	}
 	if retryMS, exceeded := e.exceedsShare(spec.Team); exceeded {
 		e.log.WithFields(log.Fields{"Job": string(spec.ID), "Team": spec.Team, "BacklogMS": e.backlogMS}).Info("JobRefusedBeyondShare")
 		e.send(Answer{To: to, Outcome: Rejected, RetryMS: retryMS})
--- a/ibiscell/kept_test.go
+++ b/ibiscell/kept_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// Guards against LOST: a leader accepts a job of a queue that it has never known, from a daemon that still goes by the
+// configuration before. Nobody knows its service.
+func TestJobOfAQueueUnknownToTheLeaderIsRefused(t *testing.T) {
+	w := newWorld(t, 2)
+	all := w.cfg.Queues
+	w.configure(all[:2], w.cfg.Teams)
+	w.newLeader()
+	w.run(20)
+	submitTwoSteps(w, 1, "bulk", "a")
+	w.run(6000)
+	assert.Equal(t, w.answers[1].Outcome, ibiscell.Rejected)
+	assert.Assert(t, w.answers[1].RetryMS > 0)
+	assert.Equal(t, len(w.starts), 0)
+	w.configure(all, w.cfg.Teams)
+	submitTwoSteps(w, 1, "bulk", "a")
+	w.run(6000)
+	assert.Equal(t, w.answers[1].Outcome, ibiscell.OK)
+	assert.Equal(t, w.state(jobID(1)), ibisjob.Completed)
+}
+
 // Guards against QUOTA: the upper limit of a team that the configuration no longer contains holds for its accepted jobs,
 // also under the next leader.
 func TestUpperLimitOfARemovedTeamOutlivesItsLeader(t *testing.T) {
