--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -109,7 +110,7 @@
 			return "", fmt.Errorf("%w: no daemon leads", errNotRun)
 		}
 		next := f.youngest(lead)
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(500*time.Millisecond + time.Duration(rand.IntN(500))*time.Millisecond)
 		if f.trouble {
 			lead.signal(syscall.SIGTERM)
 			time.Sleep(5 * time.Millisecond)
