--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -133,19 +133,25 @@
 	time.Sleep(cancelBound + 3*time.Second)
 	var broken []string
 	for id, a := range acks {
-		for n := range 2 {
-			task := fmt.Sprintf("%s.0.%d.0", id, n)
-			for _, r := range f.rec.runsOf(task) {
-				if late := r.start.Sub(a.at); late > cancelBound {
-					broken = append(broken, fmt.Sprintf("UNASKED: %s starts %.3f s after the cancelling of its submission was acknowledged with %d at %.3f s", task, late.Seconds(), a.status, f.rec.since(a.at)))
-				}
-			}
-		}
+		broken = append(broken, f.startedLate(id, a)...)
 	}
 	slices.Sort(broken)
 	return strings.Join(broken, "; "), nil
 }
 
+// startedLate returns which tasks of a submission of two steps have started too long after its cancelling was acknowledged.
+func (f *fixture) startedLate(id string, ack answer) (broken []string) {
+	for n := range 2 {
+		task := fmt.Sprintf("%s.0.%d.0", id, n)
+		for _, r := range f.rec.runsOf(task) {
+			if late := r.start.Sub(ack.at); late > cancelBound {
+				broken = append(broken, fmt.Sprintf("UNASKED: %s starts %.3f s after the cancelling of its submission was acknowledged with %d at %.3f s", task, late.Seconds(), ack.status, f.rec.since(ack.at)))
+			}
+		}
+	}
+	return broken
+}
+
 // cancel cancels a submission at a daemon until that is acknowledged, with 2xx or 410. Without that the status is 0.
 func (f *fixture) cancel(id string, d *daemon) answer {
 	for range 4 {
--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -171,6 +171,16 @@
 	<-exited
 }
 
+// ended reports whether the process has ended.
+func (d *daemon) ended() bool {
+	select {
+	case <-d.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + d.readiness + "/v1/readyz")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 	store   *store
 	daemons []*daemon
 	workers []*worker
+	late    lateOrders
 	trouble bool
 	began   time.Time
 }
@@ -54,6 +55,9 @@
 	"lasting-crash":  lastingCrash,
 	"lasting-aside":  lastingAside,
 	"cancel-unknown": cancelUnknown,
+	"cancel-frozen":  cancelBeforeSubmit,
+	"lasting-gang":   lastingGang,
+	"late-order":     lateOrder,
 }
 
 func main() {
@@ -128,7 +132,7 @@
 	}
 	f.configure()
 	for n := range workerCount {
-		w, err := newWorker(fmt.Sprintf("i-%010d", n), zones[n%len(zones)], fmt.Sprintf("r%d", n/8), f.store, f.rec)
+		w, err := newWorker(fmt.Sprintf("i-%010d", n), zones[n%len(zones)], fmt.Sprintf("r%d", n/8), f.store, f.rec, &f.late)
 		if err != nil {
 			return err
 		}
@@ -139,25 +143,41 @@
 		return err
 	}
 	for n := range daemonCount {
-		zone := zones[n%len(zones)]
-		d, err := newDaemon(folder, fmt.Sprintf("edge-%s-%d", zone, n), zone, f.store.address, f.store.address, command, f.rec)
+		d, err := f.startDaemon(folder, n, command)
 		if err != nil {
 			return err
 		}
-		if err := d.start(); err != nil {
-			return err
-		}
 		f.daemons = append(f.daemons, d)
 	}
-	for _, d := range f.daemons {
-		if !await(30*time.Second, d.isReady) {
-			return fmt.Errorf("%w: daemon %s isn't ready", errNotRun, d.name)
+	for n, d := range f.daemons {
+		for tries := 0; !await(10*time.Second, func() bool { return d.isReady() || d.ended() }) || d.ended(); tries++ {
+			if tries == 3 {
+				return fmt.Errorf("%w: daemon %s isn't ready", errNotRun, d.name)
+			}
+			if !d.ended() {
+				continue
+			}
+			// Another program may have taken one of its ports.
+			if d, err = f.startDaemon(folder, n, command); err != nil {
+				return err
+			}
+			f.daemons[n] = d
 		}
 	}
 	time.Sleep(2 * time.Second)
 	return nil
 }
 
+// startDaemon starts the daemon with a number, at free ports.
+func (f *fixture) startDaemon(folder string, n int, command []string) (*daemon, error) {
+	zone := zones[n%len(zones)]
+	d, err := newDaemon(folder, fmt.Sprintf("edge-%s-%d", zone, n), zone, f.store.address, f.store.address, command, f.rec)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.start()
+}
+
 // configure writes the first configuration.
 func (f *fixture) configure() {
 	f.store.put("op", "config", map[string]any{
@@ -217,6 +237,11 @@
 
 // call makes one call of a client over a channel of its own.
 func (f *fixture) call(d *daemon, method, id, key string, body any) answer {
+	return f.callFor(3*time.Second, d, method, id, key, body)
+}
+
+// callFor makes one call of a client that leaves after a time.
+func (f *fixture) callFor(limit time.Duration, d *daemon, method, id, key string, body any) answer {
 	var b bytes.Buffer
 	if body != nil {
 		if err := json.NewEncoder(&b).Encode(body); err != nil {
@@ -232,7 +257,7 @@
 	req.Header.Set("Api-Key", key)
 	req.Header.Set("Ibiscrank-Deadline-Ms", "3000")
 	f.rec.add("client", d.name, method+" sent", id)
-	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
 	var a answer
 	resp, err := client.Do(req)
 	if err == nil {
@@ -267,6 +292,8 @@
 	EstimateMS  int64 `json:"estimateMs,omitempty"`
 	DependsOn   []int `json:"dependsOn,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	PerWorker   int   `json:"antiAffinity,omitempty"`
 }
 
 func submission(spec string, steps ...step) map[string]any {
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -81,6 +81,28 @@
 	return n
 }
 
+// doubled returns a text about two runs of a task at the same time, or "".
+func (r *recorder) doubled(task string) string {
+	runs := r.runsOf(task)
+	for n, a := range runs {
+		for _, b := range runs[n+1:] {
+			if a.end.IsZero() || a.end.After(b.start) {
+				end := min(r.endOf(a), r.endOf(b))
+				return fmt.Sprintf("TWICE: %s runs as run %d and as run %d from %.3f s to %.3f s", task, a.run, b.run, r.since(b.start), end)
+			}
+		}
+	}
+	return ""
+}
+
+// endOf returns the end of a run, which is now if it is still running.
+func (r *recorder) endOf(rec runRecord) float64 {
+	if rec.end.IsZero() {
+		return r.since(time.Now())
+	}
+	return r.since(rec.end)
+}
+
 // absence returns the longest time for which a task had no run between its first start and now, and when that began.
 func (r *recorder) absence(task string) (longest time.Duration, from time.Time) {
 	runs := r.runsOf(task)
