--- a/review/standin/more.go
+++ b/review/standin/more.go
@@ -87,3 +87,33 @@
 	time.Sleep(15 * time.Second)
 	return f.rec.doubled(task), nil
 }
+
+// goneThenLeader loses the worker of a task for good, and the leader a little later.
+func goneThenLeader(f *fixture) (string, error) {
+	const id = "0000000000000201"
+	task := id + ".0.0.0"
+	if err := f.submit(id, teamKey, submission("lasts", step{Count: 1, CPU: 2000, MemMB: 2000, EstimateMS: 60_000, LongRunning: true})); err != nil {
+		return "", err
+	}
+	var w *worker
+	if !await(10*time.Second, func() bool { w = f.workerOf(task); return w != nil }) {
+		return "", fmt.Errorf("%w: %s never ran", errNotRun, task)
+	}
+	lead := f.leader()
+	if lead == nil {
+		return "", fmt.Errorf("%w: no daemon leads", errNotRun)
+	}
+	time.Sleep(5 * time.Second)
+	if f.trouble {
+		w.crash()
+		time.Sleep(1300 * time.Millisecond)
+		lead.signal(syscall.SIGKILL)
+		<-lead.exited
+		time.Sleep(3500 * time.Millisecond)
+		if err := lead.start(); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(20 * time.Second)
+	return f.lasting(id, task)
+}
