--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -5,6 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
 	"ibiscrank/ibiscell"
 	"ibiscrank/ibisjob"
 )
@@ -158,6 +161,13 @@
 	return n.cfg
 }
 
+// ConfigWithAge returns the same as Config, and the time in milliseconds since that was last known to be the newest.
+func (n *Node) ConfigWithAge() (cfg *ibisjob.Config, ageMS int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg, n.clock.Now() - n.configConfirmedAt
+}
+
 // Team returns the team that a key belongs to. Fresh is false when the configuration hasn't been confirmed
 // recently: keys may have been withdrawn since, so no key may be accepted.
 func (n *Node) Team(key string) (team string, known, fresh bool) {
@@ -208,6 +218,10 @@
 	}
 	n.rememberConfig(n.cfg)
 	n.cfg = cfg
+	lag := time.Duration(0) // of a first configuration nothing is known
+	if n.configConfirmedAt != neverConfirmed {
+		lag = time.Duration(n.clock.Now()-n.configConfirmedAt) * time.Millisecond
+	}
 	n.keys = make(map[string]string)
 	for _, t := range cfg.Teams {
 		for _, k := range t.Keys {
@@ -216,7 +230,8 @@
 	}
 	t := n.ownTerm
 	n.mu.Unlock()
-	n.log.WithField("Version", cfg.Version).WithField("From", source).Info("ConfigApplied")
+	metrics.GetOrRegisterTimer("ConfigLag", n.registry).Update(lag)
+	n.log.WithFields(log.Fields{"Version": cfg.Version, "From": source, "LagAtMostMS": lag.Milliseconds()}).Info("ConfigApplied")
 	if t != nil {
 		t.configChanged(cfg)
 	}
@@ -231,6 +246,12 @@
 	defer cancel()
 	began := n.clock.Now()
 	cfg, lag, err := n.directory.Config(readCtx)
+	took := n.clock.Now() - began
+	metrics.GetOrRegisterTimer("ConfigReadTime", n.registry).Update(time.Duration(took) * time.Millisecond)
+	if took >= slowReadThreshold.Milliseconds() {
+		_, age := n.ConfigWithAge()
+		n.log.WithFields(log.Fields{"TookMS": took, "AgeMS": age, "OK": err == nil}).Info("ConfigReadSlow")
+	}
 	if err != nil {
 		if ctx.Err() == nil { // else the caller has stopped waiting, which says nothing about the platform
 			n.dependencyLost("Config", err)
