CONFIG: say that a queue or key does not exist only by a complete configuration

Cause: a refusal says something about the newest configuration, and nobody asked how old the present one is.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -161,11 +161,21 @@
 	return n.cfg
 }
 
-// ConfigWithAge returns the same as Config, and the time in milliseconds since that was last known to be the newest.
-func (n *Node) ConfigWithAge() (cfg *ibisjob.Config, ageMS int64) {
+// ConfigState is the configuration of a daemon, and what it knows about whether there is a newer one.
+type ConfigState struct {
+	Config *ibisjob.Config // nil: none has been received
+	AgeMS  int64           // since it was last known to be the newest
+	// Complete means that each change that must be in force by now is in it. Otherwise it doesn't show that a queue or a key
+	// does not exist.
+	Complete bool
+}
+
+// ConfigState returns the newest configuration that this daemon has received.
+func (n *Node) ConfigState() ConfigState {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cfg, n.clock.Now() - n.configConfirmedAt
+	age := n.clock.Now() - n.configConfirmedAt
+	return ConfigState{Config: n.cfg, AgeMS: age, Complete: n.settings.ConfigApplyMS == 0 || age < n.settings.ConfigApplyMS}
 }
 
 // Team returns the team that a key belongs to. Fresh is false when the configuration hasn't been confirmed
@@ -249,8 +259,7 @@
 	took := n.clock.Now() - began
 	metrics.GetOrRegisterTimer("ConfigReadTime", n.registry).Update(time.Duration(took) * time.Millisecond)
 	if took >= slowReadThreshold.Milliseconds() {
-		_, age := n.ConfigWithAge()
-		n.log.WithFields(log.Fields{"TookMS": took, "AgeMS": age, "OK": err == nil}).Info("ConfigReadSlow")
+		n.log.WithFields(log.Fields{"TookMS": took, "AgeMS": n.ConfigState().AgeMS, "OK": err == nil}).Info("ConfigReadSlow")
 	}
 	if err != nil {
 		if ctx.Err() == nil { // else the caller has stopped waiting, which says nothing about the platform
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -56,6 +56,8 @@
 	RevokeMS  int64   // time in milliseconds within which a withdrawn key must stop working
 	Cell      ibiscell.Settings
 
+	ConfigApplyMS int64 // time in milliseconds within which a change of the configuration must be in force; 0: no bound
+
 	FailureDomain string // of this daemon's VM
 	DirectServers int    // backend servers that a leader calls itself; with more, relays make the calls; 0: 64
 }
