CONFIG: leave a read to the leader no longer than a change may take

Callers of a daemon in good order could be refused by an old configuration for 3.3 s.

Cause: a daemon whose leader says that it is reading the configuration waited until half a second before its keys became too old: 3.25 s after the last confirmation on all sites, where changes have 2 s on the small ones. Evidence: a leader that commits, but whose reads of the configuration have no answer (one silent connection does that): TestChangesApplyInTimeBesideALeaderThatDoesNotGetThem failed at 2.0 s, also with a scout.

Change: 0.9 s before a change may have to be in force a daemon reads for itself, counted from when the read began that last showed its configuration to be the newest, not from when it heard of that. Pongs say how much older than that read the confirmed moment is, since a large configuration is confirmed as of a second before. It checks every 100 ms, not 250, and waits for 250 ms after a read that has failed.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -25,9 +25,14 @@
 	// directReadAfter is the time without a new confirmation by the leader after which a daemon reads the
 	// configuration from the platform itself.
 	directReadAfter = 1100 * time.Millisecond
-	// directReadReserve is the time before its configuration is too old at which a daemon reads it itself although its
-	// leader is reading it.
+	// directReadReserve is the time before its keys are too old at which a daemon reads the configuration itself although
+	// its leader is reading it.
 	directReadReserve = 500 * time.Millisecond
+	// applyReserve is the same for changes that must be in force within Settings.ConfigApplyMS. It leaves time for the read,
+	// which may be sent again.
+	applyReserve = 900 * time.Millisecond
+	// directReadCheck is the time between checks whether to read the configuration.
+	directReadCheck = 100 * time.Millisecond
 	// readingCommitAge is how old the last commit of a leader may be for others to leave the configuration to it. One that
 	// doesn't reach the table reads in vain. A commit waits up to 1 s behind a configuration that fills the link, and is
 	// heard of up to half a second later.
@@ -192,23 +197,23 @@
 	return int64(configMaxAgeFraction * float64(n.settings.RevokeMS))
 }
 
-// configStatus returns when the configuration was last confirmed, and its version (0: none).
-func (n *Node) configStatus() (confirmedAt ibiscell.Time, version int64) {
+// configVersion returns the version of the configuration; 0: none.
+func (n *Node) configVersion() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cfg != nil {
-		version = n.cfg.Version
+	if n.cfg == nil {
+		return 0
 	}
-	return n.configConfirmedAt, version
+	return n.cfg.Version
 }
 
-// confirmConfig records that version was the newest at the given time. It changes nothing while this daemon
+// confirmConfig records that version was the newest at the time lagMS before readAt. It changes nothing while this daemon
 // still has an older version.
-func (n *Node) confirmConfig(version int64, at ibiscell.Time) {
+func (n *Node) confirmConfig(version int64, readAt ibiscell.Time, lagMS int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cfg != nil && n.cfg.Version >= version && at > n.configConfirmedAt {
-		n.configConfirmedAt, n.configHeardAt = at, n.clock.Now()
+	if n.cfg != nil && n.cfg.Version >= version && readAt-lagMS > n.configConfirmedAt {
+		n.configConfirmedAt, n.configReadAt, n.configHeardAt = readAt-lagMS, readAt, n.clock.Now()
 	}
 }
 
@@ -272,25 +277,39 @@
 		return 0, false
 	}
 	n.setConfig(cfg, "Table")
-	n.confirmConfig(cfg.Version, began-lag.Milliseconds())
+	n.confirmConfig(cfg.Version, began, lag.Milliseconds())
 	return lag, true
 }
 
 // readConfigWithoutLeader reads the configuration whenever no leader has confirmed it lately, or is about to. A daemon
 // that leads polls it as part of its term.
 func (n *Node) readConfigWithoutLeader(ctx context.Context) {
-	for n.sleep(ctx, configInterval/2) {
-		if n.currentTerm() != nil {
+	for n.sleep(ctx, directReadCheck) {
+		if n.currentTerm() != nil || !n.directReadDue() {
 			continue
 		}
-		// A pong that ends the leader's read has confirmed or announced the configuration before.
-		now := n.clock.Now()
-		if !n.leaderReadsConfig(now) && !n.configArriving(now) && n.sinceConfigConfirmed() > directReadAfter {
-			n.readConfig(ctx)
+		if _, ok := n.readConfig(ctx); !ok {
+			n.sleep(ctx, configInterval/2)
 		}
 	}
 }
 
+// directReadDue reports whether this daemon is to read the configuration for itself.
+func (n *Node) directReadDue() bool {
+	now := n.clock.Now()
+	n.mu.Lock()
+	readAt := n.configReadAt
+	n.mu.Unlock()
+	if n.configArriving(now) {
+		return false
+	}
+	if apply := n.settings.ConfigApplyMS; apply > 0 && now-readAt >= max(apply-applyReserve.Milliseconds(), apply/2) {
+		return true // a change may be missing that must be in force soon, whether the leader is reading it or not
+	}
+	// A pong that ends the leader's read has confirmed or announced the configuration before.
+	return !n.leaderReadsConfig(now) && n.sinceConfigConfirmed() > directReadAfter
+}
+
 // leaderReadsConfig reports whether to wait for the configuration that the leader or its scout is reading: as long as the
 // leader reaches the table, and this daemon's own doesn't become too old meanwhile.
 func (n *Node) leaderReadsConfig(now ibiscell.Time) bool {
--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -281,8 +281,7 @@
 			f.n.refusedConfig.Store(max(f.n.refusedConfig.Load(), p.Version))
 			f.n.configPartAt.Store(0)
 		}
-		_, own := f.n.configStatus()
-		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: own, Refused: err != nil}}})
+		f.out.put(&frame{ConfigAcks: []configAck{{Version: p.Version, Offset: p.Offset, Own: f.n.configVersion(), Refused: err != nil}}})
 	}()
 }
 
@@ -329,7 +328,7 @@
 
 // announceConfig records that the leader has a newer configuration, whose first part will follow.
 func (f *follower) announceConfig(version int64) {
-	if _, own := f.n.configStatus(); version > own && version > f.announced {
+	if version > f.n.configVersion() && version > f.announced {
 		f.announced = version
 		f.n.configPartAt.Store(f.n.clock.Now())
 	}
--- a/ibisnode/frame.go
+++ b/ibisnode/frame.go
@@ -97,13 +97,15 @@
 type pong struct {
 	At          ibiscell.Time `cbor:"1,keyasint"` // of the ping, on the follower's clock
 	Version     int64         `cbor:"2,keyasint"` // of the leader's configuration
-	ConfigAgeMS int64         `cbor:"3,keyasint"` // since the leader began the read that last confirmed it
+	ConfigAgeMS int64         `cbor:"3,keyasint"` // since the leader last knew it to be the newest
 	CommitAgeMS int64         `cbor:"4,keyasint"` // since the leader's last commit; key 5 was the counts of all queues
 	Now         ibiscell.Time `cbor:"6,keyasint"` // when it was sent, on the leader's clock
 	CommitMS    int64         `cbor:"7,keyasint"` // average time of the leader's commits
 
 	ReadingConfig bool  `cbor:"8,keyasint,omitempty"` // the leader or its scout is reading the configuration
 	JournalBytes  int64 `cbor:"9,keyasint,omitempty"` // which a new leader would read
+
+	ConfigLagMS int64 `cbor:"10,keyasint,omitempty"` // from then until the leader began the read that showed it
 }
 
 // leadershipTransfer asks the receiver to acquire leadership from the sender at once.
--- a/ibisnode/group_test.go
+++ b/ibisnode/group_test.go
@@ -145,7 +145,8 @@
 	direct  int // setting DirectServers of the daemons
 	members []*member
 
-	linkSpeed float64 // setting of the daemons
+	linkSpeed     float64 // setting of the daemons
+	configApplyMS int64   // the same
 }
 
 // newGroup starts a daemon for each power, with one backend server.
@@ -184,7 +185,7 @@
 	listen := ibisharness.FreeAddress(g.t)
 	m.link = ibisharness.NewLink(g.t, m.name, listen)
 	m.table.link = m.link
-	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct, LinkSpeed: g.linkSpeed}, ibisnode.Ports{
+	m.Node = ibisnode.New(ibisnode.Settings{Name: m.name, Address: m.link.Address(), Listen: listen, FirstRun: true, Power: power, RevokeMS: 5000, DirectServers: g.direct, LinkSpeed: g.linkSpeed, ConfigApplyMS: g.configApplyMS}, ibisnode.Ports{
 		Table: m.table, Directory: m.table, Servers: m.fleet, Clock: systemClock{}, Registry: m.registry,
 		Log: &log.Logger{Handler: m.events, Level: log.InfoLevel},
 	})
--- a/ibisnode/link.go
+++ b/ibisnode/link.go
@@ -191,8 +191,10 @@
 func (t *term) newPong(p *ping) *pong {
 	now := t.n.clock.Now()
 	reading := t.n.configReads.Load() > 0 || t.scoutReadsConfig() // before what the read results in
-	confirmedAt, version := t.n.configStatus()
-	return &pong{At: p.At, Now: now, Version: version, ConfigAgeMS: now - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS(), ReadingConfig: reading, JournalBytes: t.journalBytes.Load()}
+	t.n.mu.Lock()
+	confirmedAt, readAt := t.n.configConfirmedAt, t.n.configReadAt
+	t.n.mu.Unlock()
+	return &pong{At: p.At, Now: now, Version: t.n.configVersion(), ConfigAgeMS: now - confirmedAt, ConfigLagMS: readAt - confirmedAt, CommitAgeMS: now - t.commitAt.Load(), CommitMS: t.n.latency.averageMS(), ReadingConfig: reading, JournalBytes: t.journalBytes.Load()}
 }
 
 // follower is the other end of a link: it carries this daemon's requests to the leader.
@@ -330,11 +332,10 @@
 }
 
 func (f *follower) newPing() *ping {
-	_, version := f.n.configStatus()
 	f.mu.Lock()
 	pongAt := f.lastPong.At
 	f.mu.Unlock()
-	return &ping{At: f.n.clock.Now(), Version: version, Draining: f.n.isDraining(), PongAt: pongAt}
+	return &ping{At: f.n.clock.Now(), Version: f.n.configVersion(), Draining: f.n.isDraining(), PongAt: pongAt}
 }
 
 // handleFrame handles a message of the leader.
@@ -367,7 +368,7 @@
 		f.handleConfigPart(&m.ConfigParts[k])
 	}
 	if p := m.Pong; p != nil {
-		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS)
+		f.n.confirmConfig(p.Version, p.At-p.ConfigAgeMS+p.ConfigLagMS, p.ConfigLagMS)
 		f.announceConfig(p.Version)
 		f.mu.Lock()
 		f.pongAt, f.lastPong = f.n.clock.Now(), *p
--- a/ibisnode/node.go
+++ b/ibisnode/node.go
@@ -91,6 +91,7 @@
 	cfg               *ibisjob.Config
 	keys              map[string]string // team by key
 	configConfirmedAt ibiscell.Time     // when cfg was last known to be the newest
+	configReadAt      ibiscell.Time     // when the read that showed this began; later by the lag of Directory.Config
 	configHeardAt     ibiscell.Time     // when configConfirmedAt last rose
 	earlierConfigs    []*ibisjob.Config // replaced ones, the latest last
 	ownTerm           *term             // nil unless this daemon leads
@@ -122,7 +123,7 @@
 	return &Node{
 		settings: settings, table: p.Table, directory: p.Directory, servers: p.Servers, advisor: p.Advisor, clock: p.Clock,
 		log: p.Log, registry: p.Registry, routeChanged: make(chan struct{}), unavailable: make(map[string]bool),
-		configConfirmedAt: neverConfirmed, configHeardAt: neverConfirmed, noLeaderSince: p.Clock.Now(), startedMS: p.Clock.UnixMS(),
+		configConfirmedAt: neverConfirmed, configReadAt: neverConfirmed, configHeardAt: neverConfirmed, noLeaderSince: p.Clock.Now(), startedMS: p.Clock.UnixMS(),
 	}
 }
 
--- a/ibisnode/scout.go
+++ b/ibisnode/scout.go
@@ -91,8 +91,8 @@
 	if r.ConfigVersion == 0 {
 		return
 	}
-	t.n.confirmConfig(r.ConfigVersion, r.At-r.ConfigLagMS)
-	if _, version := t.n.configStatus(); r.ConfigVersion > version {
+	t.n.confirmConfig(r.ConfigVersion, r.At, r.ConfigLagMS)
+	if r.ConfigVersion > t.n.configVersion() {
 		select {
 		case t.configWanted <- struct{}{}:
 		default:
--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -153,15 +153,34 @@
 	g.assertConfigArrivesWithout(g.awaitScout())
 }
 
+// Guards against changes that apply later than configApplyMs (2 s; CONFIG) because daemons leave the configuration to a
+// leader whose read of it is not answered, although its commits are.
+func TestChangesApplyInTimeBesideALeaderThatDoesNotGetThem(t *testing.T) {
+	g := startGroup(&group{t: t, configApplyMS: 2000}, 1, 1, 0.2, 0.2)
+	g.assertConfigArrivesWithin(2*time.Second, g.leader())
+}
+
+// The same with a scout.
+func TestChangesApplyInTimeBesideAScoutThatDoesNotGetThem(t *testing.T) {
+	g := startGroup(&group{t: t, direct: 10, configApplyMS: 2000}, 30, 1, 1, 1, 1, 1)
+	g.assertConfigArrivesWithin(2*time.Second, g.awaitScout())
+}
+
 // assertConfigArrivesWithout checks that the other daemons apply a new configuration within 5 s while reads of it by reader
 // are not answered.
 func (g *group) assertConfigArrivesWithout(reader *member) {
+	g.t.Helper()
+	g.assertConfigArrivesWithin(5*time.Second, reader)
+}
+
+// assertConfigArrivesWithin does the same for another time.
+func (g *group) assertConfigArrivesWithin(limit time.Duration, reader *member) {
 	g.t.Helper()
 	reader.table.stickConfig(g.t)
 	g.table.setConfig(newConfig(2, 1))
 	changed := time.Now()
 	for _, m := range g.others(reader) {
-		ibisharness.Eventually(g.t, 5*time.Second, m.name+" applies the configuration", func() bool { return m.Config().Version >= 2 })
+		ibisharness.Eventually(g.t, time.Until(changed.Add(limit)), m.name+" applies the configuration", func() bool { return m.Config().Version >= 2 })
 	}
 	g.t.Logf("applied after %v", time.Since(changed))
 }
