CONFIG: a new leader reads the configuration at once if it is not known to be the newest

Callers of the daemon that had just taken the lead were refused by an old configuration for half a second longer than those of all others.

Cause: a leader reads the configuration half a second after it has taken the lead, whether the read of its recovery had an answer or not, and half a second after a read has ended, however long that took.

Change: the first read comes half a second after the last confirmation, at once if that is older; the others half a second after the one before began.

TestNewLeaderReadsTheConfigurationAtOnce fails without it.

--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -133,7 +133,8 @@
 
 // pollConfig keeps the configuration up to date.
 func (t *term) pollConfig() {
-	timer := time.NewTimer(configInterval)
+	// The read of the recovery may have had no answer.
+	timer := time.NewTimer(configInterval - t.n.sinceConfigConfirmed())
 	defer timer.Stop()
 	for {
 		wanted := false
@@ -145,7 +146,10 @@
 			wanted = true
 		}
 		if wanted || !t.scoutFresh.Load() || t.n.sinceConfigConfirmed() >= scoutConfigTimeout {
+			began := time.Now()
 			t.n.readConfig(t.ctx)
+			timer.Reset(configInterval - time.Since(began))
+			continue
 		}
 		timer.Reset(configInterval)
 	}
--- a/ibisnode/slowread_test.go
+++ b/ibisnode/slowread_test.go
@@ -166,6 +166,25 @@
 	g.assertConfigArrivesWithin(2*time.Second, g.awaitScout())
 }
 
+// Guards against a new leader that leaves the configuration as it is for half a second more when the read of its recovery
+// had no answer (CONFIG).
+func TestNewLeaderReadsTheConfigurationAtOnce(t *testing.T) {
+	g := newGroup(t, 1, 1)
+	old := g.leader()
+	next := g.others(old)[0]
+	next.table.configMu.Lock()
+	next.table.configStuck = true
+	next.table.configMu.Unlock()
+	old.stop()
+	ibisharness.Eventually(t, 10*time.Second, "another leads", next.leads)
+	taken := time.Now()
+	ibisharness.Eventually(t, 300*time.Millisecond, "it reads the configuration", func() bool {
+		next.table.configMu.Lock()
+		defer next.table.configMu.Unlock()
+		return next.table.configBegan.After(taken.Add(-50 * time.Millisecond))
+	})
+}
+
 // assertConfigArrivesWithout checks that the other daemons apply a new configuration within 5 s while reads of it by reader
 // are not answered.
 func (g *group) assertConfigArrivesWithout(reader *member) {
--- a/ibisnode/table_test.go
+++ b/ibisnode/table_test.go
@@ -141,6 +141,7 @@
 	configReads   int       // of the whole configuration
 	configStuck   bool      // a read of the configuration is not answered
 	configWaiting bool      // such a read has begun
+	configBegan   time.Time // when the last read of the configuration began
 }
 
 // stickConfig makes reads of the configuration remain without an answer, and waits until one has begun.
@@ -168,6 +169,7 @@
 	v.configMu.Lock()
 	known := v.configVersion == version && time.Since(v.configReadAt) < configReadInterval
 	stuck := v.configStuck
+	v.configBegan = time.Now()
 	v.configWaiting = v.configWaiting || stuck
 	v.configMu.Unlock()
 	if stuck {
