--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -68,7 +68,7 @@
 	LeaseMS       int64 // length of the leases on backend servers
 	MaxLeaseMS    int64 // longest lease that a backend server grants
 	RenewWaitMS   int64 // long-poll timeout of a lease renewal
-	LeaderLeaseMS int64 // after its last commit, a leader grants and renews leases for this long only
+	LeaderLeaseMS int64 // after the beginning of its last commit, a leader grants and renews leases for this long only
 	EvacuateMS    int64 // time after its acknowledgement from which an evacuation must be in force; 0: none are read
 	IgnorePace    bool  // place tasks as if all servers had the same pace
 }
@@ -142,6 +142,7 @@
 	trialsWaiting int              // tasks that waited for a trial in the last placement
 
 	lastCommit Time
+	ledAt      Time  // a time at which no other daemon led yet: when the last write began that the table has accepted
 	unixOffset int64 // Unix time minus engine time, in milliseconds
 }
 
--- a/ibiscell/engine_test.go
+++ b/ibiscell/engine_test.go
@@ -241,10 +241,10 @@
 		}
 		return w.answers[7].Outcome
 	}
-	w.e.WriteConfirmed(w.now)
+	w.e.WriteConfirmed(w.now, w.now)
 	assert.Equal(t, status(), ibiscell.NotFound)
 	w.now += 4000 // the VM was suspended; another daemon may have become the leader
 	assert.Equal(t, status(), ibiscell.NotLeader)
-	w.e.WriteConfirmed(w.now)
+	w.e.WriteConfirmed(w.now, w.now)
 	assert.Equal(t, status(), ibiscell.NotFound)
 }
--- a/ibiscell/journal.go
+++ b/ibiscell/journal.go
@@ -15,6 +15,8 @@
 	TableEnded   = "Ended"   // final states; one row for each batch in which jobs ended
 	TablePaces   = "Paces"   // what is known of the paces of servers, in one row
 
+	TableSilences = "Silences" // by when the leases of servers that do not answer have ended; one row for each
+
 	// Written by earlier versions, and replaced by rows of Changes after a change of leader.
 	TableJobs     = "Jobs"     // one row for each job, as accepted
 	TableProgress = "Progress" // one row for each job, with the progress of all its tasks
@@ -22,7 +24,7 @@
 
 // Tables returns the names of all tables from which Recover rebuilds a cell.
 func Tables() []string {
-	return []string{TableChanges, TableEnded, TablePaces, TableJobs, TableProgress}
+	return []string{TableChanges, TableEnded, TablePaces, TableSilences, TableJobs, TableProgress}
 }
 
 // Row is one row of the journal.
@@ -89,6 +91,7 @@
 	removes          []Row           // rows to remove when a batch has space for them
 	endedRowsWritten int64           // rows of Ended written by this leader
 	endedRows        []endedRow
+	silences         []*server // whose records are to be written or removed
 	nextPurge        Time
 	inFlight         bool
 	inFlightSince    Time
@@ -163,7 +166,7 @@
 
 // HasUncommitted reports whether there are changes that are not part of a batch yet, or rows to rewrite.
 func (e *Engine) HasUncommitted() bool {
-	return len(e.journal.queue) > 0 || len(e.journal.settings) > 0 || len(e.journal.removes) > 0 || e.rowToRewrite() != nil
+	return len(e.journal.queue) > 0 || len(e.journal.settings) > 0 || len(e.journal.removes) > 0 || len(e.journal.silences) > 0 || e.rowToRewrite() != nil
 }
 
 // TakeBatch returns the changes to commit next, or nil if there are none or a batch is in flight. The
@@ -194,8 +197,9 @@
 	e.addChangedSettings(&w)
 	e.rewriteOldest(&w)
 	e.putChanges(b, &w)
+	e.addSilences(b)
 	e.addPaces(b)
-	removed := min(MaxBatchRows-len(b.Puts), len(e.journal.removes))
+	removed := min(max(MaxBatchRows-len(b.Puts)-len(b.Removes), 0), len(e.journal.removes))
 	b.Removes = append(b.Removes, e.journal.removes[:removed]...)
 	e.journal.removes = append([]Row(nil), e.journal.removes[removed:]...)
 	e.journal.inFlight, e.journal.inFlightSince = true, now
@@ -344,7 +348,7 @@
 	e.now = now
 	e.journal.commitMS += commitWeight * (float64(now-e.journal.inFlightSince) - e.journal.commitMS)
 	e.journal.inFlight, e.journal.failing = false, false
-	e.lastCommit = now
+	e.lastCommit, e.ledAt = now, e.journal.inFlightSince
 	for _, fn := range b.onCommit {
 		fn()
 	}
@@ -354,9 +358,9 @@
 	}
 }
 
-// WriteConfirmed reports that the table has accepted a write of this leader that carried no batch.
-func (e *Engine) WriteConfirmed(now Time) {
-	e.now, e.lastCommit = now, now
+// WriteConfirmed reports that the table has accepted a write of this leader that carried no batch, and when that began.
+func (e *Engine) WriteConfirmed(now, began Time) {
+	e.now, e.lastCommit, e.ledAt = now, now, began
 	e.journal.failing = false
 }
 
--- a/ibiscell/journal_test.go
+++ b/ibiscell/journal_test.go
@@ -77,7 +77,7 @@
 	assert.Equal(t, w.state(jobID(2)), ibisjob.Completed)
 	for range 700 {
 		w.run(1000)
-		w.e.WriteConfirmed(w.now) // the leader's heartbeat
+		w.e.WriteConfirmed(w.now, w.now) // the leader's heartbeat
 	}
 	assert.Equal(t, w.state(jobID(2)), ibisjob.State(""), "the job has been forgotten")
 	w.newLeader()
@@ -99,7 +99,7 @@
 	lead := func(seconds int) {
 		for range seconds {
 			w.run(1000)
-			w.e.WriteConfirmed(w.now) // the leader's heartbeat
+			w.e.WriteConfirmed(w.now, w.now) // the leader's heartbeat
 		}
 	}
 	for range 10 {
--- a/ibiscell/kept_test.go
+++ b/ibiscell/kept_test.go
@@ -318,7 +318,7 @@
 	assert.Assert(t, names["1 queue-0"] > 0)
 	for range 400 { // until old rows have been written again
 		w.run(1000)
-		w.e.WriteConfirmed(w.now) // the leader's heartbeat
+		w.e.WriteConfirmed(w.now, w.now) // the leader's heartbeat
 	}
 	names, _ = w.settingsInJournal()
 	assert.DeepEqual(t, names, map[string]int{"1 queue-0": 1, "2 a": 1})
--- a/ibiscell/load_test.go
+++ b/ibiscell/load_test.go
@@ -259,7 +259,7 @@
 	w.run(20)
 	assert.Equal(t, w.answers[1].Outcome, ibiscell.Rejected)
 	w.tableDown = false
-	w.e.WriteConfirmed(w.now)
+	w.e.WriteConfirmed(w.now, w.now)
 	w.submit(2, ibisjob.Job{ID: jobID(2), Queue: "bulk", Spec: "50", Steps: steps(ibisjob.Step{Tasks: 3, Size: size(5000, 10)})})
 	w.run(500)
 	assert.Equal(t, w.state(jobID(2)), ibisjob.Completed)
--- a/ibiscell/pacerow.go
+++ b/ibiscell/pacerow.go
@@ -13,7 +13,7 @@
 // addPaces adds the paces to the batch, if they differ and the last row is old enough.
 func (e *Engine) addPaces(b *Batch) {
 	p := &e.paces
-	if !p.learned || e.now < p.nextRow || p.spread < unusedSpread || len(b.Puts) >= MaxBatchRows {
+	if !p.learned || e.now < p.nextRow || p.spread < unusedSpread || len(b.Puts)+len(b.Removes) >= MaxBatchRows {
 		return
 	}
 	p.learned = false
--- a/ibiscell/random_faults_test.go
+++ b/ibiscell/random_faults_test.go
@@ -86,7 +86,7 @@
 	for end := w.now + ms; w.now < end; {
 		w.run(min(250, end-w.now))
 		if !w.tableDown {
-			w.e.WriteConfirmed(w.now)
+			w.e.WriteConfirmed(w.now, w.now)
 		}
 	}
 }
--- a/ibiscell/recover.go
+++ b/ibiscell/recover.go
@@ -30,7 +30,7 @@
 // Recover rebuilds the cell from the rows of its journal, by table. It must be called after SetConfig and
 // SetServers and before any other event. Rows that cannot be decoded are logged and left in the table.
 func (e *Engine) Recover(now Time, tables map[string][]Row) {
-	e.now, e.lastCommit = now, now
+	e.now, e.lastCommit, e.ledAt = now, now, now
 	for _, row := range tables[TableEnded] {
 		var list []endedJob
 		if err := cbor.Unmarshal(row.Value, &list); err != nil {
@@ -50,6 +50,7 @@
 	for _, id := range slices.Sorted(maps.Keys(records)) {
 		e.recoverJob(records[id])
 	}
+	e.recoverSilences(tables[TableSilences])
 	e.trackSettings(logged)
 	for _, r := range e.journal.rows {
 		if r.live == 0 {
--- a/ibiscell/server.go
+++ b/ibiscell/server.go
@@ -28,6 +28,7 @@
 	renewBackoffMaxMS   = 1000 // longest backoff after a failed renewal
 	renewTimeoutSlackMS = 800  // a renewal has timed out this long after its long-poll timeout
 	unresponsiveAfterMS = 1200 // a server silent for this long beyond the long-poll timeout gets no new tasks
+	maxExtrapolationMS  = 3000 // since the report from which the clock of a server is extrapolated, whose renewal fails before that
 	ackWaitMS           = 40   // a renewal waits this long for the commit of ended runs that it is to acknowledge
 	slowAckWaitMS       = 400  // the same while the table is unavailable and nothing can be acknowledged
 	failuresToSetAside  = 2    // consecutive failed runs after which a server is set aside
@@ -64,6 +65,7 @@
 	seenEnd             int64 // highest number of an ended run that was processed
 	ackedEnd            int64 // highest number of an ended run whose effect is committed
 	unacked             []uncommittedEnd
+	silence             silence
 	consecutiveFailures int
 	asideUntil          Time  // no new tasks before this time
 	asidePause          int64 // how long the server was last set aside, in milliseconds; 0 after a success
@@ -140,12 +142,18 @@
 	s := &server{info: info, runs: make(map[RunName]*run), nextRenewal: e.now, renewBackoff: renewBackoffMS, lastContact: e.now}
 	// Leases granted by a previous leader remain valid until that leader has lost its authority and they
 	// have expired.
-	s.leasesExpireBy = e.now + e.settings.LeaderLeaseMS + withClockDrift(e.settings.MaxLeaseMS)
+	s.leasesExpireBy = e.now + e.settings.LeaderLeaseMS + e.longestLeaseMS()
 	e.servers[info.ID], e.sorted = s, nil
 	e.placementDue = true
 	return s
 }
 
+// longestLeaseMS returns the longest time on the engine's clock from the grant of a lease to its end. The leader extrapolates
+// the server's clock, and the server's may run slow.
+func (e *Engine) longestLeaseMS() int64 {
+	return withClockDrift(e.settings.LeaseMS+maxExtrapolationMS) - maxExtrapolationMS
+}
+
 // withClockDrift returns the longest time on the engine's clock in which a server's clock advances by ms.
 func withClockDrift(ms int64) int64 { return ms*100/(100-clockDriftPercent) + 1 }
 
@@ -202,7 +210,7 @@
 
 // usable reports whether new tasks may be placed on s.
 func (e *Engine) usable(s *server) bool {
-	return s.listed && !s.info.Leaving && !e.evacuated(s) && s.claimed && !s.crashSeen && s.unknownRuns == 0 && e.now >= s.asideUntil && e.responsive(s)
+	return s.listed && !s.info.Leaving && !e.evacuated(s) && s.claimed && !s.silence.recorded && !s.crashSeen && s.unknownRuns == 0 && e.now >= s.asideUntil && e.responsive(s)
 }
 
 // awaitingClaim reports whether s is expected to answer the first renewal of this leader, which claims it.
@@ -219,12 +227,13 @@
 	if !s.renewing && e.now >= s.nextRenewal && s.info.Address != "" && (s.listed || len(s.runs) > 0) {
 		e.renew(s, false)
 	}
-	if e.now > s.leasesExpireBy && len(s.runs) > 0 && e.now-s.lastContact > e.settings.LeaseMS {
+	if e.now > s.leasesExpireBy && len(s.runs) > 0 && (e.silent(s) || e.now-s.lastContact > e.settings.LeaseMS) {
 		e.serverLog(s).WithFields(log.Fields{"Runs": len(s.runs), "HeardMSAgo": e.now - s.lastContact}).Warn("LeasesLapsed")
 		e.lapse(s)
 		s.claimed = false
 	}
-	if !s.listed && len(s.runs) == 0 && e.now > s.leasesExpireBy {
+	e.checkSilence(s)
+	if !s.listed && len(s.runs) == 0 && e.now > s.leasesExpireBy && !s.silence.recorded {
 		delete(e.servers, s.info.ID)
 		e.paces.learner.Drop(s.info.ID)
 		e.sorted = nil
@@ -297,7 +306,7 @@
 // leaseEnd returns the end of a lease granted now, in the clock of s, or 0 when this leader may no longer
 // grant leases. It extends the time by which all leases of s have expired.
 func (e *Engine) leaseEnd(s *server) int64 {
-	if !s.claimed || e.now-e.lastCommit > e.settings.LeaderLeaseMS {
+	if !s.claimed || s.silence.recorded || e.now-e.ledAt > e.settings.LeaderLeaseMS {
 		return 0
 	}
 	end := s.clockNow(e.now) + e.settings.LeaseMS
@@ -332,6 +341,8 @@
 	s.endsListed = len(r.Ended) > 0
 	s.nextRenewal = now
 	switch {
+	case s.silence.recorded: // leases can be granted again once that is removed, which renews them
+		s.nextRenewal = now + silentAfterMS
 	case s.probeSentAt != 0 && r.SentAt >= s.probeSentAt:
 		e.renew(s, true)
 	case len(s.unacked) > 0 && now-e.lastCommit > slowAckWaitMS:
@@ -346,7 +357,7 @@
 	s.claimed, s.ackedEnd, s.seenEnd, s.unacked, s.probeSentAt = true, 0, 0, nil, 0
 	e.keepForTrials(s)
 	// From now on the server accepts leases from this leader only.
-	s.leasesExpireBy = e.now + withClockDrift(e.settings.MaxLeaseMS)
+	s.leasesExpireBy = e.now + e.longestLeaseMS()
 	e.serverLog(s).WithFields(log.Fields{"Epoch": e.settings.Epoch, "Recovered": len(s.runs)}).Info("ServerClaimed")
 }
 
--- a/ibisnode/leader.go
+++ b/ibisnode/leader.go
@@ -294,6 +294,7 @@
 // acquired leadership since the given epoch, or when acquireAttempts have failed.
 func (n *Node) acquire(ctx context.Context, epoch int64) (*term, bool) {
 	nonce := uuid.NewString()
+	began := n.clock.Now()
 	for attempt := range acquireAttempts {
 		row, leader, err := n.readLeader(ctx)
 		if err != nil {
@@ -307,7 +308,7 @@
 		version := row.Version
 		if leader.Nonce == nonce { // an earlier attempt has taken effect, though its reply was lost
 			own.Epoch = leader.Epoch
-			return n.newTerm(own, version), true
+			return n.newTerm(own, version, began), true
 		}
 		value, err := cbor.Marshal(own)
 		if err != nil {
@@ -316,7 +317,7 @@
 		}
 		version, err = n.commitOnce(ctx, Tx{Partition: cellPartition, Table: tableLeader, Key: leaderKey, Expected: row.Version, Value: value}, attempt)
 		if err == nil {
-			return n.newTerm(own, version), true
+			return n.newTerm(own, version, began), true
 		}
 		var conflict *ConflictError
 		n.log.WithField("Try", attempt).WithError(err).Info("LeadNotTaken")
@@ -327,7 +328,8 @@
 	return nil, false
 }
 
-func (n *Node) newTerm(row leaderRow, version int64) *term {
+// newTerm returns the term of this daemon as named by row, whose write began at a time.
+func (n *Node) newTerm(row leaderRow, version int64, began ibiscell.Time) *term {
 	t := &term{
 		n: n, row: row, version: version, log: n.log.WithField("Epoch", row.Epoch),
 		events: make(chan func(*ibiscell.Engine), maxPendingEvents), batches: make(chan *ibiscell.Batch, 1), done: make(chan struct{}),
@@ -335,6 +337,7 @@
 		openLoggedAt: make(map[string]ibiscell.Time), configParts: make(chan struct{}, maxConfigParts), configWanted: make(chan struct{}, 1),
 	}
 	t.commitAt.Store(n.clock.Now())
+	t.commitBegan.Store(began)
 	return t
 }
 
@@ -396,6 +399,7 @@
 	}
 	t.setFleet(e, fleet)
 	e.Recover(now, rows)
+	e.WriteConfirmed(now, t.commitBegan.Load())
 	return e, nil
 }
 
--- a/ibisnode/term.go
+++ b/ibisnode/term.go
@@ -60,6 +60,7 @@
 	scoutFresh   atomic.Bool      // the scout reads the servers and the configuration
 	traffic      map[string]int64 // counters of bytes as last logged
 	commitAt     atomic.Int64     // of the last commit, on the node's clock
+	commitBegan  atomic.Int64     // the same of its beginning
 	steppingDown atomic.Bool      // leadership is to be given up with the next commit
 
 	changesToConfig changeEncoder
@@ -327,22 +328,22 @@
 	if b != nil {
 		tx.Puts, tx.Removes = b.Puts, b.Removes
 	}
-	began := time.Now()
+	began, beganAt := time.Now(), t.n.clock.Now()
 	for attempt := 0; ; attempt++ {
 		tx.Expected = t.version
 		version, err := t.n.commitOnce(t.ctx, tx, attempt)
 		if err == nil {
 			t.version = version
-			return t.commitDone(b, began)
+			return t.commitDone(b, began, beganAt)
 		}
 		if Unknown.Has(err) && t.findCommitted(began) {
-			return t.commitDone(b, began)
+			return t.commitDone(b, began, beganAt)
 		}
 		if done, err := t.resolveFailure(err); err != nil {
 			t.requestEnd()
 			return err
 		} else if done {
-			return t.commitDone(b, began)
+			return t.commitDone(b, began, beganAt)
 		}
 		if t.ctx.Err() != nil {
 			return Error.Wrap(t.ctx.Err())
@@ -423,18 +424,19 @@
 	return current.Seq == t.row.Seq, nil
 }
 
-// commitDone records a commit and tells the engine; began is when its first attempt began.
-func (t *term) commitDone(b *ibiscell.Batch, began time.Time) error {
+// commitDone records a commit and tells the engine; began and beganAt are when its first attempt began.
+func (t *term) commitDone(b *ibiscell.Batch, began time.Time, beganAt ibiscell.Time) error {
 	t.n.dependencyBack("Commit")
 	now := t.n.clock.Now()
 	t.commitAt.Store(now)
+	t.commitBegan.Store(beganAt)
 	metrics.GetOrRegisterTimer("CommitTime", t.n.registry).UpdateSince(began)
 	if b != nil {
 		t.trackJournal(b.Puts, b.Removes)
 	}
 	t.enqueue(func(e *ibiscell.Engine) {
 		if b == nil {
-			e.WriteConfirmed(now)
+			e.WriteConfirmed(now, beganAt)
 			return
 		}
 		e.Committed(t.n.clock.Now(), b)
