--- a/ibiscell/silence.go
+++ b/ibiscell/silence.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -70,10 +71,14 @@
 			b.onCommit = append(b.onCommit, func() {
 				s.silence = silence{}
 				s.nextRenewal, e.placementDue = e.now, true
+				e.serverLog(s).Info("ServerSilenceOver")
 			})
 		case e.silent(s):
-			s.silence.recorded, s.silence.writtenAt = true, e.now
 			rec := silenceRecord{Incarnation: s.info.Incarnation, RemainingMS: max(s.leasesExpireBy-e.now, 0)}
+			if !s.silence.recorded {
+				e.serverLog(s).WithFields(log.Fields{"Runs": len(s.runs), "HeardMSAgo": e.now - s.lastContact, "LeasesEndInMS": rec.RemainingMS}).Info("ServerSilent")
+			}
+			s.silence.recorded, s.silence.writtenAt = true, e.now
 			b.Puts = append(b.Puts, Row{Table: TableSilences, Key: s.info.ID, Value: encode(rec)})
 		}
 	}
@@ -97,5 +102,6 @@
 		if s.info.Incarnation == rec.Incarnation {
 			s.leasesExpireBy = min(s.leasesExpireBy, e.now+rec.RemainingMS)
 		}
+		e.serverLog(s).WithFields(log.Fields{"Runs": len(s.runs), "RecordedBorn": rec.Incarnation, "LeasesEndInMS": s.leasesExpireBy - e.now}).Info("ServerSilenceRecovered")
 	}
 }
