--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build test red lint fmt demo capacity soak fuzz tools
+.PHONY: build test red lint fmt demo capacity soak fuzz tools review
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -42,6 +42,13 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRequest -fuzztime 30s ./ibisgate
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./ibissettings
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzServerEntry -fuzztime 30s ./platform
+
+# Plays the cases of the independent review on stand-ins: 0 means that the rule held, 1 that it was broken.
+review:
+	$(GO) build -ldflags=-linkmode=external -o target/ ./cmd/ibiscrank
+	review/build.sh
+	@for case in review/[0-9]*/; do $${case}run.sh >/dev/null 2>&1; echo "$$case: $$?"; done
 
 # "make soak SEED=1 MINUTES=10" repeats the random-fault run of that seed.
 soak: build
