--- a/ibiscell/engine.go
+++ b/ibiscell/engine.go
@@ -142,7 +142,7 @@
 	trialsWaiting int              // tasks that waited for a trial in the last placement
 
 	lastCommit Time
-	ledAt      Time  // a time at which no other daemon led yet: when the last write began that the table has accepted
+	ledAt      Time  // when the last write began that the table has accepted: no other daemon had taken the lead by then
 	unixOffset int64 // Unix time minus engine time, in milliseconds
 }
 
