CONFIG: a leader leaves the configuration to its scout no longer than a change may take

Callers of a leader with a scout could be refused by an old configuration for up to 2.5 s where a change has 2 s.

Sites with scouts have bounds of 3 and 4 s, where 2 s came first: nothing changes there.

--- a/ibisnode/call.go
+++ b/ibisnode/call.go
@@ -297,19 +297,24 @@
 // directReadDue reports whether this daemon is to read the configuration for itself.
 func (n *Node) directReadDue() bool {
 	now := n.clock.Now()
-	n.mu.Lock()
-	readAt := n.configReadAt
-	n.mu.Unlock()
 	if n.configArriving(now) {
 		return false
 	}
-	if apply := n.settings.ConfigApplyMS; apply > 0 && now-readAt >= max(apply-applyReserve.Milliseconds(), apply/2) {
-		return true // a change may be missing that must be in force soon, whether the leader is reading it or not
+	if n.changeMayBeMissing(now) {
+		return true // whether the leader is reading it or not
 	}
 	// A pong that ends the leader's read has confirmed or announced the configuration before.
 	return !n.leaderReadsConfig(now) && n.sinceConfigConfirmed() > directReadAfter
 }
 
+// changeMayBeMissing reports whether the configuration may lack a change that must be in force within applyReserve.
+func (n *Node) changeMayBeMissing(now ibiscell.Time) bool {
+	apply := n.settings.ConfigApplyMS
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return apply > 0 && now-n.configReadAt >= max(apply-applyReserve.Milliseconds(), apply/2)
+}
+
 // leaderReadsConfig reports whether to wait for the configuration that the leader or its scout is reading: as long as the
 // leader reaches the table, and this daemon's own doesn't become too old meanwhile.
 func (n *Node) leaderReadsConfig(now ibiscell.Time) bool {
--- a/ibisnode/configlink.go
+++ b/ibisnode/configlink.go
@@ -145,7 +145,7 @@
 		case <-t.configWanted:
 			wanted = true
 		}
-		if wanted || !t.scoutFresh.Load() || t.n.sinceConfigConfirmed() >= scoutConfigTimeout {
+		if wanted || !t.scoutFresh.Load() || t.n.sinceConfigConfirmed() >= scoutConfigTimeout || t.n.changeMayBeMissing(t.n.clock.Now()) {
 			began := time.Now()
 			t.n.readConfig(t.ctx)
 			timer.Reset(configInterval - time.Since(began))
